Add design page, core types, stand-in cores and test fakes

The design page weighs the ways to own workers, to survive an outage of the table service and to run non-idempotent requests at most once.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,39 @@
+PYTHON ?= python3.11
+VENV := .venv
+BIN := $(VENV)/bin
+READY := $(VENV)/.ready
+
+.PHONY: demo test check format binary bench soak clean
+
+$(READY): requirements.lock pyproject.toml
+	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
+	$(BIN)/python -m pip install --quiet --disable-pip-version-check -r requirements.lock
+	$(BIN)/python -m pip install --quiet --disable-pip-version-check --no-deps --no-build-isolation -e .
+	touch $(READY)
+
+demo: $(READY)
+	$(BIN)/hyssopweir demo
+
+test: $(READY)
+	$(BIN)/python -m pytest
+
+check: $(READY)
+	$(BIN)/black --check hyssopweir tests benchmarks
+	$(BIN)/ruff check hyssopweir tests benchmarks
+	$(BIN)/mypy
+
+format: $(READY)
+	$(BIN)/black --quiet hyssopweir tests benchmarks
+	$(BIN)/ruff check --fix hyssopweir tests benchmarks
+
+binary: $(READY)
+	$(BIN)/shiv --quiet --compressed --reproducible -c hyssopweir -o dist/hyssopweir -p "/usr/bin/env python3.11" --no-deps -r requirements.runtime.lock .
+
+bench: $(READY)
+	$(BIN)/python -m benchmarks
+
+soak: $(READY)
+	$(BIN)/python -m pytest tests/test_random_faults.py --soak-seed=$(or $(SEED),1) --soak-runs=$(or $(RUNS),200)
+
+clean:
+	rm -rf build dist $(VENV)
--- /dev/null
+++ b/hyssopweir/clock.py
@@ -0,0 +1,60 @@
+"""Time in milliseconds, and the hybrid logical clock that orders events."""
+
+import asyncio
+import time
+from typing import NamedTuple
+
+Millis = int
+
+SECOND_MS: Millis = 1_000
+MINUTE_MS: Millis = 60 * SECOND_MS
+
+
+class Clock:
+    """Tell time in milliseconds on the event loop's monotonic clock."""
+
+    def now_ms(self) -> Millis:
+        """Return monotonic milliseconds, comparable within one process only."""
+        return int(asyncio.get_running_loop().time() * SECOND_MS)
+
+    def wall_ms(self) -> Millis:
+        """Return milliseconds since the Unix epoch."""
+        return time.time_ns() // 1_000_000
+
+    async def sleep_ms(self, delay_ms: Millis) -> None:
+        """Sleep for ``delay_ms`` milliseconds."""
+        await asyncio.sleep(max(delay_ms, 0) / SECOND_MS)
+
+
+class Stamp(NamedTuple):
+    """Order events of all processes: wall milliseconds, then a counter."""
+
+    ms: Millis
+    counter: int
+
+
+class HybridClock:
+    """Issue stamps that never precede a stamp already issued or received.
+
+    The algorithm is the hybrid logical clock of Kulkarni et al., "Logical Physical
+    Clocks" (OPODIS 2014).
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._last = Stamp(0, 0)
+
+    def tick(self) -> Stamp:
+        """Return the stamp of a local event."""
+        wall_ms = self._clock.wall_ms()
+        if wall_ms > self._last.ms:
+            self._last = Stamp(wall_ms, 0)
+        else:
+            self._last = Stamp(self._last.ms, self._last.counter + 1)
+        return self._last
+
+    def observe(self, remote: Stamp) -> Stamp:
+        """Advance past the stamp of a received message."""
+        if remote > self._last:
+            self._last = remote
+        return self.tick()
--- /dev/null
+++ b/hyssopweir/events.py
@@ -0,0 +1,187 @@
+"""Numbered log events, written as JSON lines and kept in a ring buffer.
+
+The catalogue in ``docs/events.md`` is checked against this module by a test.
+"""
+
+import json
+import logging
+from collections import deque
+from collections.abc import Iterator
+from enum import IntEnum
+from typing import Any, NamedTuple
+
+from hyssopweir.clock import Clock, HybridClock, Stamp
+
+RING_SIZE = 4_096
+
+logger = logging.getLogger("hyssopweir")
+
+
+class Event(IntEnum):
+    """Number each event that a process can log."""
+
+    INSTANCE_STARTED = 100
+    INSTANCE_READY = 101
+    INSTANCE_NOT_READY = 102
+    INSTANCE_DRAINING = 103
+    INSTANCE_STOPPED = 104
+    BACKGROUND_TASK_FAILED = 105
+
+    SESSION_OPENED = 200
+    SESSION_EXPIRED = 201
+    SESSION_LOST = 202
+    PEER_CONNECTED = 210
+    PEER_DISCONNECTED = 211
+    PEER_REJECTED = 212
+    LATE_REPLY_DROPPED = 213
+    SHARD_CLAIMED = 220
+    SHARD_TAKEN_OVER = 221
+    SHARD_HANDED_OVER = 222
+    SHARD_LOST = 223
+    SHARD_CLAIM_CONFLICT = 224
+
+    WORKER_CLAIMED = 300
+    WORKER_UNREACHABLE = 301
+    WORKER_LEAVING = 302
+    WORKER_RESTARTED = 303
+    WORKER_GONE = 304
+    WORKER_REFUSED = 305
+    WORKER_REPLY_INVALID = 306
+    WORKER_EJECTED = 307
+    WORKER_RESTORED = 308
+
+    REQUEST_RECEIVED = 400
+    REQUEST_QUEUED = 401
+    REQUEST_FORWARDED = 402
+    REQUEST_DISPATCHED = 403
+    REQUEST_ANSWERED = 404
+    REQUEST_REFUSED = 405
+    REQUEST_RETRIED = 406
+    REQUEST_FAILED = 407
+    KEY_REPEATED = 410
+    KEY_SETTLED = 411
+    KEY_RECORD_DELAYED = 412
+
+    JOB_ACCEPTED = 500
+    JOB_DONE = 501
+    JOB_FAILED = 502
+    JOB_CANCEL_REQUESTED = 503
+    JOB_CANCELLED = 504
+    TASK_QUEUED = 510
+    TASK_STARTING = 511
+    TASK_STARTED = 512
+    TASK_ADOPTED = 513
+    TASK_DONE = 514
+    TASK_FAILED = 515
+    TASK_EVICTING = 516
+    TASK_EVICTED = 517
+    TASK_RESUMED = 518
+    TASK_LAPSED = 519
+    TASK_CANCELLED = 520
+    TASK_HELD = 521
+    TASK_WAITING = 522
+    TASK_MOVED = 523
+
+    STORE_DOWN = 600
+    STORE_UP = 601
+    STORE_READ_BACK = 602
+    STORE_CONFLICT = 603
+    LIST_UNAVAILABLE = 604
+
+    CONFIGURATION_IN_FORCE = 700
+    CONFIGURATION_ACCEPTED = 701
+    CONFIGURATION_REFUSED = 702
+    PLAN_MADE = 710
+    PLAN_CONFIRMED = 711
+    PLAN_REFUSED = 712
+
+    INVARIANT_BREACH = 900
+    BAD_INPUT = 901
+
+
+WARNINGS = frozenset(
+    {
+        Event.BACKGROUND_TASK_FAILED,
+        Event.SESSION_EXPIRED,
+        Event.SESSION_LOST,
+        Event.PEER_REJECTED,
+        Event.SHARD_LOST,
+        Event.WORKER_UNREACHABLE,
+        Event.WORKER_REPLY_INVALID,
+        Event.STORE_DOWN,
+        Event.LIST_UNAVAILABLE,
+        Event.BAD_INPUT,
+    }
+)
+
+
+class EventRecord(NamedTuple):
+    """Hold one event with its place in the order of all processes."""
+
+    stamp: Stamp
+    seq: int
+    instance: str
+    data_centre: str
+    event: Event
+    fields: dict[str, Any]
+
+
+def record_to_dict(record: EventRecord) -> dict[str, Any]:
+    """Return the JSON form of an event."""
+    return {
+        "stamp": [record.stamp.ms, record.stamp.counter],
+        "seq": record.seq,
+        "instance": record.instance,
+        "data_centre": record.data_centre,
+        "event": int(record.event),
+        "name": record.event.name,
+        **record.fields,
+    }
+
+
+class EventLog:
+    """Log the events of one process and keep the newest ``RING_SIZE`` of them."""
+
+    def __init__(self, instance: str, data_centre: str, clock: Clock) -> None:
+        self.instance = instance
+        self.data_centre = data_centre
+        self.hybrid_clock = HybridClock(clock)
+        self._ring: deque[EventRecord] = deque(maxlen=RING_SIZE)
+        self._seq = 0
+
+    def emit(self, event: Event, **fields: Any) -> EventRecord:
+        """Stamp, keep and log an event; ``fields`` must be JSON values."""
+        self._seq += 1
+        record = EventRecord(
+            self.hybrid_clock.tick(),
+            self._seq,
+            self.instance,
+            self.data_centre,
+            event,
+            fields,
+        )
+        self._ring.append(record)
+        level = _level(event)
+        if logger.isEnabledFor(level):
+            logger.log(level, json.dumps(record_to_dict(record), default=str))
+        return record
+
+    def __iter__(self) -> Iterator[EventRecord]:
+        return iter(tuple(self._ring))
+
+
+def _level(event: Event) -> int:
+    if event is Event.INVARIANT_BREACH:
+        return logging.ERROR
+    if event in WARNINGS:
+        return logging.WARNING
+    return logging.INFO
+
+
+def configure_logging(level: str) -> None:
+    """Write one JSON object a line to standard error."""
+    handler = logging.StreamHandler()
+    handler.setFormatter(logging.Formatter("%(message)s"))
+    logger.handlers = [handler]
+    logger.propagate = False
+    logger.setLevel(level)
--- /dev/null
+++ b/hyssopweir/table.py
@@ -0,0 +1,217 @@
+"""Interface of the platform's table service, and writes that survive lost replies."""
+
+from collections.abc import Sequence
+from typing import Any, NamedTuple, Protocol
+from uuid import uuid4
+
+from result import Err, Ok, Result
+
+from hyssopweir.clock import Clock, Millis
+from hyssopweir.codes import Code, Failure, not_run, unknown
+from hyssopweir.events import Event, EventLog
+
+ABSENT = 0
+READ_BACK_DELAY_MS: Millis = 50
+READ_BACK_LIMIT_MS: Millis = 2_000
+
+
+class Row(NamedTuple):
+    """Hold a row; ``version`` grows with each write and is never used again."""
+
+    key: str
+    version: int
+    transaction: str
+    value: dict[str, Any]
+
+
+class Put(NamedTuple):
+    """Write ``key`` if it has the expected version, ``ABSENT`` for a new row."""
+
+    key: str
+    value: dict[str, Any]
+    expected: int
+
+
+class Delete(NamedTuple):
+    """Delete ``key`` if it has the expected version."""
+
+    key: str
+    expected: int
+
+
+class Check(NamedTuple):
+    """Require that ``key`` has the expected version."""
+
+    key: str
+    expected: int
+
+
+class Require(NamedTuple):
+    """Require that ``field`` of the row ``key`` equals ``value``."""
+
+    key: str
+    field: str
+    value: Any
+
+
+Operation = Put | Delete | Check | Require
+
+
+class TableService(Protocol):
+    """Read and write rows of the platform's transactional table service.
+
+    Every failure has one of the codes ``STORE_*``. ``STORE_UNAVAILABLE`` on a commit
+    means that it took no effect, ``STORE_OUTCOME_UNKNOWN`` that it may have.
+    """
+
+    async def read(self, key: str) -> Result[Row | None, Failure]:
+        """Return the row ``key``, None if it does not exist."""
+        ...
+
+    async def scan(
+        self,
+        prefix: str,
+        after: str = "",
+        limit: int = 1_000,
+    ) -> Result[list[Row], Failure]:
+        """Return rows whose key starts with ``prefix``, in key order."""
+        ...
+
+    async def commit(
+        self,
+        operations: Sequence[Operation],
+        transaction: str,
+    ) -> Result[dict[str, int], Failure]:
+        """Apply all operations or none; return the new versions by key."""
+        ...
+
+
+class TableStore:
+    """Commit to the table service and find out the outcome of lost replies."""
+
+    def __init__(self, service: TableService, clock: Clock, log: EventLog) -> None:
+        self._service = service
+        self._clock = clock
+        self._log = log
+        self.is_up = True
+
+    async def read(self, key: str) -> Result[Row | None, Failure]:
+        """Return the row ``key``, None if it does not exist."""
+        reply = await self._service.read(key)
+        self._note(reply)
+        return reply
+
+    async def scan(self, prefix: str) -> Result[list[Row], Failure]:
+        """Return all rows whose key starts with ``prefix``, in key order."""
+        rows: list[Row] = []
+        while True:
+            after = rows[-1].key if rows else ""
+            reply = await self._service.scan(prefix, after)
+            self._note(reply)
+            if isinstance(reply, Err):
+                return reply
+            if not reply.ok_value:
+                return Ok(rows)
+            rows.extend(reply.ok_value)
+
+    async def commit(
+        self,
+        operations: Sequence[Operation],
+    ) -> Result[dict[str, int], Failure]:
+        """Apply all operations or none; return the new versions by key.
+
+        ``STORE_CONFLICT`` and ``STORE_UNAVAILABLE`` mean that nothing was written.
+        ``STORE_OUTCOME_UNKNOWN`` is returned only if reading back failed as well, or if
+        another writer has replaced the rows meanwhile.
+        """
+        transaction = uuid4().hex
+        reply = await self._service.commit(operations, transaction)
+        self._note(reply)
+        if isinstance(reply, Ok):
+            return reply
+        if reply.err_value.code is not Code.STORE_OUTCOME_UNKNOWN:
+            return reply
+        return await self._read_back(operations, transaction)
+
+    async def _read_back(
+        self,
+        operations: Sequence[Operation],
+        transaction: str,
+    ) -> Result[dict[str, int], Failure]:
+        limit_ms = self._clock.now_ms() + READ_BACK_LIMIT_MS
+        while self._clock.now_ms() < limit_ms:
+            outcome = await self._resubmit(operations, transaction)
+            if outcome is not None:
+                self._log.emit(
+                    Event.STORE_READ_BACK,
+                    transaction=transaction,
+                    applied=isinstance(outcome, Ok),
+                )
+                return outcome
+            await self._clock.sleep_ms(READ_BACK_DELAY_MS)
+        return Err(
+            unknown(
+                Code.STORE_OUTCOME_UNKNOWN,
+                "the table service did not confirm the write and can't be read",
+                transaction=transaction,
+            )
+        )
+
+    async def _resubmit(
+        self,
+        operations: Sequence[Operation],
+        transaction: str,
+    ) -> Result[dict[str, int], Failure] | None:
+        """Write again; conditions keep a write that took effect from repeating."""
+        again = await self._service.commit(operations, transaction)
+        self._note(again)
+        if isinstance(again, Ok):
+            return again
+        if again.err_value.code is not Code.STORE_CONFLICT:
+            return None
+        return await self._compare(operations, transaction)
+
+    async def _compare(
+        self,
+        operations: Sequence[Operation],
+        transaction: str,
+    ) -> Result[dict[str, int], Failure] | None:
+        versions: dict[str, int] = {}
+        untouched = True
+        for operation in operations:
+            if not isinstance(operation, (Put, Delete)):
+                continue
+            reply = await self.read(operation.key)
+            if isinstance(reply, Err):
+                return None
+            row = reply.ok_value
+            version = row.version if row is not None else ABSENT
+            if row is not None and row.transaction == transaction:
+                versions[operation.key] = row.version
+                continue
+            if isinstance(operation, Delete) and row is None:
+                versions[operation.key] = ABSENT
+                continue
+            untouched = untouched and version == operation.expected
+        writes = sum(isinstance(op, (Put, Delete)) for op in operations)
+        if len(versions) == writes:
+            return Ok(versions)
+        if untouched and not versions:
+            return Err(not_run(Code.STORE_CONFLICT, "a condition of the write failed"))
+        return Err(
+            unknown(
+                Code.STORE_OUTCOME_UNKNOWN,
+                "another writer has replaced rows of an unconfirmed write",
+                transaction=transaction,
+            )
+        )
+
+    def _note(self, reply: Result[Any, Failure]) -> None:
+        failed = isinstance(reply, Err) and reply.err_value.code in (
+            Code.STORE_UNAVAILABLE,
+            Code.STORE_OUTCOME_UNKNOWN,
+        )
+        if failed == (not self.is_up):
+            return
+        self.is_up = not failed
+        self._log.emit(Event.STORE_DOWN if failed else Event.STORE_UP)
--- /dev/null
+++ b/tests/fakes.py
@@ -0,0 +1,375 @@
+"""In-memory fakes of the platform and of the links between instances, with faults."""
+
+import asyncio
+import random
+from collections import defaultdict
+from collections.abc import Awaitable, Callable, Sequence
+from typing import Any, TypeVar
+
+from result import Err, Ok, Result
+
+from hyssopweir.clock import Clock, Millis
+from hyssopweir.codes import Code, Failure, not_run, unknown
+from hyssopweir.fleet import Listing, Worker
+from hyssopweir.peers import Handler, NoteHandler, Params
+from hyssopweir.standin_table import StandinTable
+from hyssopweir.standin_workers import Account, StandinWorker
+from hyssopweir.table import Operation, Row
+from hyssopweir.worker_client import Fence, Inventory, RequestRun, RunReport, TaskRun
+
+T = TypeVar("T")
+
+CALL_TIMEOUT_MS: Millis = 1_000
+
+
+class FakeTableService:
+    """Serve a shared table to one instance, with faults.
+
+    ``lose_replies`` and ``delay_ms`` act on each call; ``down`` refuses all calls.
+    """
+
+    def __init__(
+        self,
+        table: StandinTable,
+        clock: Clock,
+        seed: int = 0,
+        latency_ms: Millis = 2,
+    ) -> None:
+        self.table = table
+        self.down = False
+        self.writes_down = False
+        self.lost_reply_share = 0.0
+        self.latency_ms = latency_ms
+        self._clock = clock
+        self._random = random.Random(seed)
+
+    async def read(self, key: str) -> Result[Row | None, Failure]:
+        await self._clock.sleep_ms(self.latency_ms)
+        return Err(DOWN) if self.down else Ok(self.table.read(key))
+
+    async def scan(
+        self,
+        prefix: str,
+        after: str = "",
+        limit: int = 1_000,
+    ) -> Result[list[Row], Failure]:
+        await self._clock.sleep_ms(self.latency_ms)
+        return Err(DOWN) if self.down else Ok(self.table.scan(prefix, after, limit))
+
+    async def commit(
+        self,
+        operations: Sequence[Operation],
+        transaction: str,
+    ) -> Result[dict[str, int], Failure]:
+        await self._clock.sleep_ms(self.latency_ms)
+        if self.down or self.writes_down:
+            return Err(DOWN)
+        reply = self.table.commit(operations, transaction)
+        await self._clock.sleep_ms(self.latency_ms)
+        if self._random.random() < self.lost_reply_share:
+            return Err(unknown(Code.STORE_OUTCOME_UNKNOWN, "the reply was lost"))
+        return reply
+
+
+DOWN = not_run(Code.STORE_UNAVAILABLE, "the table service is down")
+
+
+class FakeObjectStore:
+    def __init__(self) -> None:
+        self.objects: dict[str, bytes] = {}
+        self.down = False
+
+    async def put(self, key: str, body: bytes) -> Result[None, Failure]:
+        if self.down:
+            return Err(DOWN)
+        self.objects[key] = body
+        return Ok(None)
+
+    async def get(self, key: str) -> Result[bytes | None, Failure]:
+        return Err(DOWN) if self.down else Ok(self.objects.get(key))
+
+
+class FakeInstanceList:
+    """List workers; ``listings`` is what the list shows, which may lag."""
+
+    def __init__(self, listings: list[Listing]) -> None:
+        self.listings = listings
+        self.down = False
+
+    async def read(self) -> Result[list[Listing], Failure]:
+        if self.down:
+            return Err(not_run(Code.LIST_UNAVAILABLE, "the instance list is down"))
+        return Ok(list(self.listings))
+
+
+class FakeFleet:
+    """Hold the stand-in workers that all instances share."""
+
+    def __init__(self, workers: list[Worker], clock: Clock) -> None:
+        self.account = Account(clock)
+        self.workers = {
+            worker.worker_id: StandinWorker(worker, clock, self.account)
+            for worker in workers
+        }
+        self.dead: set[str] = set()
+        self.frozen: dict[str, asyncio.Event] = {}
+
+    def kill(self, worker_id: str) -> None:
+        self.dead.add(worker_id)
+        self.workers[worker_id].kill()
+
+    def restart(self, worker_id: str) -> None:
+        self.dead.discard(worker_id)
+        self.workers[worker_id].restart()
+
+    def freeze(self, worker_id: str) -> None:
+        self.frozen[worker_id] = asyncio.Event()
+
+    def resume(self, worker_id: str) -> None:
+        self.frozen.pop(worker_id).set()
+
+
+class FakeWorkerClient:
+    """Call the stand-in workers from one instance, with latency and cuts.
+
+    A call to a frozen worker reaches it when it resumes, however late.
+    """
+
+    def __init__(self, fleet: FakeFleet, clock: Clock, latency_ms: Millis = 1) -> None:
+        self.fleet = fleet
+        self.latency_ms = latency_ms
+        self.cut: set[str] = set()
+        self.late_calls: set[asyncio.Task[Any]] = set()
+        self._clock = clock
+
+    async def claim(self, worker: Worker, epoch: int) -> Result[Inventory, Failure]:
+        return await self._call(worker, lambda target: target.claim(epoch))
+
+    async def execute(
+        self,
+        worker: Worker,
+        fence: Fence,
+        run: RequestRun,
+    ) -> Result[RunReport, Failure]:
+        return await self._call(
+            worker,
+            lambda target: target.execute(fence, run),
+            timeout_ms=max(run.deadline_ms, 1),
+        )
+
+    async def start(
+        self,
+        worker: Worker,
+        fence: Fence,
+        run: TaskRun,
+        lease_until_ms: Millis,
+    ) -> Result[None, Failure]:
+        return await self._call(
+            worker,
+            lambda target: target.start(fence, run, lease_until_ms),
+        )
+
+    async def watch(
+        self,
+        worker: Worker,
+        fence: Fence,
+        revision: int,
+        wait_ms: Millis,
+        lease_until_ms: Millis,
+    ) -> Result[Inventory, Failure]:
+        return await self._call(
+            worker,
+            lambda target: target.watch(fence, revision, wait_ms, lease_until_ms),
+            timeout_ms=wait_ms + CALL_TIMEOUT_MS,
+        )
+
+    async def checkpoint(
+        self,
+        worker: Worker,
+        fence: Fence,
+        run_id: str,
+    ) -> Result[RunReport, Failure]:
+        return await self._call(
+            worker,
+            lambda target: target.checkpoint(fence, run_id),
+        )
+
+    async def throttle(
+        self,
+        worker: Worker,
+        fence: Fence,
+        run_id: str,
+        share: float,
+    ) -> Result[RunReport, Failure]:
+        return await self._call(
+            worker,
+            lambda target: target.throttle(fence, run_id, share),
+        )
+
+    async def stop(
+        self,
+        worker: Worker,
+        fence: Fence,
+        run_id: str,
+    ) -> Result[RunReport, Failure]:
+        return await self._call(worker, lambda target: target.stop(fence, run_id))
+
+    async def lookup(
+        self,
+        worker: Worker,
+        fence: Fence,
+        run_id: str,
+    ) -> Result[RunReport, Failure]:
+        return await self._call(worker, lambda target: target.lookup(fence, run_id))
+
+    async def acknowledge(
+        self,
+        worker: Worker,
+        fence: Fence,
+        run_ids: Sequence[str],
+    ) -> Result[None, Failure]:
+        return await self._call(
+            worker,
+            lambda target: target.acknowledge(fence, run_ids),
+        )
+
+    async def _call(
+        self,
+        worker: Worker,
+        act: Callable[[StandinWorker], Awaitable[Result[T, Failure]]],
+        timeout_ms: Millis = CALL_TIMEOUT_MS,
+    ) -> Result[T, Failure]:
+        worker_id = worker.worker_id
+        if worker_id in self.fleet.dead or worker_id in self.cut:
+            await self._clock.sleep_ms(self.latency_ms)
+            return Err(not_run(Code.WORKER_UNREACHABLE, "connection refused"))
+        call = asyncio.create_task(self._deliver(worker_id, act))
+        self.late_calls.add(call)
+        call.add_done_callback(self.late_calls.discard)
+        done, _ = await asyncio.wait({call}, timeout=timeout_ms / 1_000)
+        if not done or worker_id in self.fleet.dead or worker_id in self.cut:
+            return Err(unknown(Code.WORKER_UNREACHABLE, "no answer from the worker"))
+        return call.result()
+
+    async def _deliver(
+        self,
+        worker_id: str,
+        act: Callable[[StandinWorker], Awaitable[Result[T, Failure]]],
+    ) -> Result[T, Failure]:
+        await self._clock.sleep_ms(self.latency_ms)
+        frozen = self.fleet.frozen.get(worker_id)
+        if frozen is not None:
+            await frozen.wait()
+        if worker_id in self.fleet.dead:
+            return Err(unknown(Code.WORKER_UNREACHABLE, "the worker has ended"))
+        reply = await act(self.fleet.workers[worker_id])
+        await self._clock.sleep_ms(self.latency_ms)
+        return reply
+
+
+class FakeNetwork:
+    """Connect the instances of one test; ``cut`` holds directed pairs of sessions."""
+
+    def __init__(self, clock: Clock, one_way_ms: Millis = 3) -> None:
+        self.clock = clock
+        self.one_way_ms = one_way_ms
+        self.nodes: dict[str, FakePeers] = {}
+        self.cut: set[tuple[str, str]] = set()
+
+    def reaches(self, source: str, target: str) -> bool:
+        return target in self.nodes and (source, target) not in self.cut
+
+
+class FakePeers:
+    """Implement ``PeerNetwork`` for one instance of a ``FakeNetwork``."""
+
+    def __init__(self, network: FakeNetwork, session: str) -> None:
+        self.network = network
+        self.session = session
+        self._handlers: dict[str, Handler] = {}
+        self._notes: dict[str, list[NoteHandler]] = defaultdict(list)
+        self._tasks: set[asyncio.Task[Any]] = set()
+        network.nodes[session] = self
+
+    def register(self, method: str, handler: Handler) -> None:
+        self._handlers[method] = handler
+
+    def on_note(self, topic: str, handler: NoteHandler) -> None:
+        self._notes[topic].append(handler)
+
+    async def call(
+        self,
+        session: str,
+        method: str,
+        params: Params,
+        expires_ms: Millis,
+    ) -> Result[Params, Failure]:
+        clock = self.network.clock
+        if not self.network.reaches(self.session, session):
+            return Err(not_run(Code.PEER_UNREACHABLE, "no link to the peer"))
+        call = asyncio.create_task(self._deliver(session, method, params, expires_ms))
+        self._tasks.add(call)
+        call.add_done_callback(self._tasks.discard)
+        left_ms = max(expires_ms - clock.now_ms(), 0)
+        done, _ = await asyncio.wait({call}, timeout=left_ms / 1_000)
+        if not done:
+            return Err(unknown(Code.DEADLINE_EXCEEDED, "no answer from the peer"))
+        if call.cancelled() or not self.network.reaches(session, self.session):
+            return Err(unknown(Code.PEER_LOST, "the link broke"))
+        return call.result()
+
+    async def _deliver(
+        self,
+        session: str,
+        method: str,
+        params: Params,
+        expires_ms: Millis,
+    ) -> Result[Params, Failure]:
+        clock = self.network.clock
+        await clock.sleep_ms(self.network.one_way_ms)
+        peer = self.network.nodes.get(session)
+        if peer is None:
+            return Err(unknown(Code.PEER_LOST, "the peer has ended"))
+        work = asyncio.create_task(peer.handle(method, params, expires_ms))
+        peer._tasks.add(work)
+        work.add_done_callback(peer._tasks.discard)
+        await asyncio.wait({work})
+        await clock.sleep_ms(self.network.one_way_ms)
+        if work.cancelled():
+            return Err(unknown(Code.PEER_LOST, "the peer has ended"))
+        return work.result()
+
+    async def handle(
+        self,
+        method: str,
+        params: Params,
+        expires_ms: Millis,
+    ) -> Result[Params, Failure]:
+        return await self._handlers[method](params, expires_ms)
+
+    def notify(self, session: str, topic: str, params: Params) -> None:
+        if self.network.reaches(self.session, session):
+            delay_s = self.network.one_way_ms / 1_000
+            loop = asyncio.get_running_loop()
+            loop.call_later(delay_s, self._receive_at, session, topic, params)
+
+    def broadcast(self, topic: str, params: Params) -> None:
+        for session in list(self.network.nodes):
+            if session != self.session:
+                self.notify(session, topic, params)
+
+    def connected(self, session: str) -> bool:
+        return self.network.reaches(self.session, session)
+
+    def disconnect(self) -> None:
+        """End this instance abruptly, with the calls that it is handling."""
+        self.network.nodes.pop(self.session, None)
+        for task in list(self._tasks):
+            task.cancel()
+
+    def _receive_at(self, session: str, topic: str, params: Params) -> None:
+        peer = self.network.nodes.get(session)
+        if peer is None:
+            return
+        for handler in peer._notes[topic]:
+            handler(self.session, params)
