--- a/hyssopweir/events.py
+++ b/hyssopweir/events.py
@@ -6,7 +6,7 @@
 import json
 import logging
 from collections import deque
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from enum import IntEnum
 from typing import Any, NamedTuple
 
@@ -146,6 +146,7 @@
         self.instance = instance
         self.data_centre = data_centre
         self.hybrid_clock = HybridClock(clock)
+        self._subscribers: list[Callable[[EventRecord], None]] = []
         self._ring: deque[EventRecord] = deque(maxlen=RING_SIZE)
         self._seq = 0
 
@@ -161,11 +162,17 @@
             fields,
         )
         self._ring.append(record)
+        for subscriber in self._subscribers:
+            subscriber(record)
         level = _level(event)
         if logger.isEnabledFor(level):
             logger.log(level, json.dumps(record_to_dict(record), default=str))
         return record
 
+    def subscribe(self, subscriber: Callable[[EventRecord], None]) -> None:
+        """Call ``subscriber`` with each further event."""
+        self._subscribers.append(subscriber)
+
     def __iter__(self) -> Iterator[EventRecord]:
         return iter(tuple(self._ring))
 
--- /dev/null
+++ b/hyssopweir/instance.py
@@ -0,0 +1,400 @@
+"""An entry instance: its parts, its start and its planned stop."""
+
+import asyncio
+import signal
+from collections.abc import Awaitable, Callable
+from typing import Any, NamedTuple
+
+from mode import Service
+
+from hyssopweir.clock import Clock, Millis
+from hyssopweir.codes import Code
+from hyssopweir.commits import GroupCommit
+from hyssopweir.configuration import ConfigurationKeeper
+from hyssopweir.dispatch import Dispatcher
+from hyssopweir.entry import EntryServer
+from hyssopweir.events import Event, EventLog, EventRecord, configure_logging
+from hyssopweir.fleet_view import FleetView
+from hyssopweir.forwarding import Forwarder
+from hyssopweir.idempotency import KeyStore
+from hyssopweir.intents import FleetFacts
+from hyssopweir.invariants import Invariants
+from hyssopweir.jobs import JobDesk
+from hyssopweir.loops import run_forever
+from hyssopweir.membership import Membership
+from hyssopweir.metrics import Metrics
+from hyssopweir.ownership import Ownership
+from hyssopweir.peers import PeerLinks, PeerNetwork
+from hyssopweir.plans import PlanDesk
+from hyssopweir.platform_client import (
+    HttpInstanceList,
+    HttpObjectStore,
+    HttpSession,
+    HttpTableService,
+)
+from hyssopweir.platform_services import InstanceList, ObjectStore
+from hyssopweir.readiness import LONGEST_PAUSE_MS, TICK_MS, Readiness
+from hyssopweir.retries import RetryBudget
+from hyssopweir.routing import ShardRouter
+from hyssopweir.settings import Settings
+from hyssopweir.slots import SlotLedger
+from hyssopweir.table import TableService, TableStore
+from hyssopweir.task_rows import Parts as TaskParts
+from hyssopweir.tasks import TaskKeeper
+from hyssopweir.worker_client import WorkerClient
+from hyssopweir.worker_http import HttpWorkerClient
+from hyssopweir.worker_links import WorkerLinks
+
+STOP_POLL_MS: Millis = 50
+
+
+class Adapters(NamedTuple):
+    """Hold the connections to everything outside the process."""
+
+    table: TableService
+    objects: ObjectStore
+    listing: InstanceList
+    workers: WorkerClient
+    services: tuple[Service, ...] = ()
+    close: Callable[[], Awaitable[None]] | None = None
+
+
+def http_adapters(cfg: Settings) -> Adapters:
+    """Return adapters that speak HTTP with the platform and the workers."""
+    http = HttpSession(cfg["platform"], cfg["timing"]["store_timeout_ms"])
+    workers = HttpWorkerClient(cfg["limits"]["connections_per_worker"])
+    return Adapters(
+        HttpTableService(http),
+        HttpObjectStore(http),
+        HttpInstanceList(http),
+        workers,
+        (http,),
+        workers.close,
+    )
+
+
+class Parts:
+    """Hold the parts of an instance, wired together."""
+
+    def __init__(
+        self,
+        cfg: Settings,
+        adapters: Adapters,
+        peers: Callable[["Parts"], PeerNetwork],
+        ports: Callable[[], tuple[int, int]],
+        clock: Clock,
+        log: EventLog,
+    ) -> None:
+        timing, limits = cfg["timing"], cfg["limits"]
+        self.cfg = cfg
+        self.log = log
+        self._workers = adapters.workers
+        self.invariants = Invariants(clock, log)
+        self.readiness = Readiness(clock, log)
+        self.store = TableStore(adapters.table, clock, log)
+        self.membership = Membership(
+            cfg,
+            self.store,
+            clock,
+            log,
+            ports,
+            lambda: self.configuration.version,
+        )
+        self.peers = peers(self)
+        self.configuration = ConfigurationKeeper(
+            cfg, self.store, self.peers, self.invariants, clock, log
+        )
+        self.fleet = FleetView(adapters.listing, clock, log, timing["scan_ms"])
+        self.ownership = Ownership(
+            cfg, self.store, self.membership, self.fleet, self.peers, clock, log
+        )
+        self.ledger = SlotLedger(self.invariants, limits["latency_reserve_slots"])
+        self.links = WorkerLinks(
+            self.fleet,
+            adapters.workers,
+            self.ledger,
+            self.ownership,
+            timing,
+            clock,
+            log,
+        )
+        keys = KeyStore(self.store, adapters.objects, log)
+        self.dispatcher = Dispatcher(
+            self.membership,
+            self.fleet,
+            self.ownership,
+            self.links,
+            self.ledger,
+            keys,
+            adapters.workers,
+            self.peers,
+            self.invariants,
+            cfg,
+            clock,
+            log,
+        )
+        self.router = ShardRouter(
+            self.membership,
+            cfg["data_centre"],
+            cfg["links"],
+            self.fleet,
+            self.ownership,
+            self.peers,
+            self.dispatcher.load,
+            clock,
+        )
+        self.forwarder = Forwarder(
+            self.membership,
+            self.ownership,
+            self.configuration,
+            self.router,
+            self.dispatcher,
+            keys,
+            self.peers,
+            RetryBudget(limits["retry_percent"]),
+            self.invariants,
+            clock,
+            log,
+        )
+        self.commits = GroupCommit(
+            self.store,
+            lambda: self.membership.session,
+            clock,
+            log,
+            timing["commit_ms"],
+        )
+        self.tasks = TaskKeeper(
+            TaskParts(
+                self.store,
+                self.commits,
+                adapters.workers,
+                self.links,
+                self.ledger,
+                self.fleet,
+                self.ownership,
+                self.invariants,
+                clock,
+                log,
+                timing["lease_ms"],
+            ),
+            self.peers,
+            self.free_task_slots,
+            self.quota_of,
+        )
+        self.jobs = JobDesk(
+            self.store, self.peers, self.tasks, self.free_task_slots, clock, log
+        )
+        self.plans = PlanDesk(
+            self.store, log, self.configuration.announce, self.fleet_facts
+        )
+        self._wire()
+
+    def _wire(self) -> None:
+        self.peers.on_note("load", self.router.note_load)
+        self.ownership.on_gained(self.links.shard_gained)
+        self.ownership.on_gained(self.tasks.shard_gained)
+        self.ownership.on_lost(self.tasks.shard_lost)
+        self.ownership.on_lost(self.links.shard_lost)
+        self.ownership.on_lost(self.dispatcher.shard_lost)
+        self.ownership.on_lost(self._release_workers)
+        self.links.on_inventory(self.tasks.take_inventory)
+        self.links.on_restarted(self.tasks.worker_restarted)
+        self.ledger.on_free(self.tasks.slot_freed)
+
+    def _release_workers(self, shard: str) -> None:
+        for worker in self.fleet.workers_of(shard):
+            self._workers.release(worker)
+
+    def background_services(self) -> list[Service]:
+        """Return the services to start, in order."""
+        return [
+            self.membership,
+            self.configuration,
+            self.fleet,
+            self.commits,
+            self.links,
+            self.dispatcher,
+            self.tasks,
+            self.ownership,
+        ]
+
+    def free_task_slots(self) -> dict[str, int]:
+        """Return an estimate of the slots that tasks may use in each shard."""
+        reserve = self.cfg["limits"]["latency_reserve_slots"]
+        return {
+            shard: max(free - reserve * len(self.fleet.workers_of(shard)), 0)
+            for shard, free in self.router.free_by_shard().items()
+            if self.ownership.owner_of(shard) is not None
+        }
+
+    def quota_of(self, team: str) -> int | None:
+        """Return the most slots that a team's tasks may use, None without a limit."""
+        return self.configuration.body["teams"].get(team, {}).get("quota_slots")
+
+    def fleet_facts(self) -> FleetFacts:
+        """Return what bounds an operator's wishes."""
+        workers = self.fleet.workers()
+        reserve = self.cfg["limits"]["latency_reserve_slots"]
+        return FleetFacts(
+            sum(worker.slots for worker in workers),
+            reserve * len(workers),
+        )
+
+    def worker_views(self) -> list[dict[str, Any]]:
+        """Return what operators see of the workers."""
+        return [self._worker_view(worker.worker_id) for worker in self.fleet.workers()]
+
+    def _worker_view(self, worker_id: str) -> dict[str, Any]:
+        worker = self.fleet.worker(worker_id)
+        if worker is None:
+            return {"worker": worker_id, "state": "gone"}
+        owner = self.ownership.owner_of(worker.shard) or ""
+        row = self.membership.row(owner)
+        is_own = self.ownership.epoch_of(worker.shard) is not None
+        leaving = self.fleet.leaving_since_ms(worker_id) is not None
+        return {
+            "worker": worker_id,
+            "shard": worker.shard,
+            "state": "leaving" if leaving else "live",
+            "owner": row["instance"] if row is not None else "none",
+            "slots": worker.slots,
+            "in_flight": self.ledger.in_flight(worker_id) if is_own else None,
+            "cores": worker.cores,
+            "memory_gb": worker.memory_gb,
+            "accelerators": worker.accelerators,
+        }
+
+    def instance_views(self) -> list[dict[str, Any]]:
+        """Return what operators see of the entry instances."""
+        owners = [self.ownership.owner_of(shard) for shard in self.fleet.shards()]
+        return [
+            {
+                "instance": row["instance"],
+                "data_centre": row["data_centre"],
+                "ready": row["ready"],
+                "configuration": row["configuration"],
+                "shards": owners.count(session),
+                "callers": f"{row['host']}:{row['caller_port']}",
+                "session": session,
+            }
+            for session, row in sorted(self.membership.live().items())
+        ]
+
+
+class Instance(Service):
+    """Run one entry instance."""
+
+    def __init__(
+        self,
+        cfg: Settings,
+        adapters: Adapters | None = None,
+        clock: Clock | None = None,
+    ) -> None:
+        super().__init__()
+        self._clock = clock or Clock()
+        self.cfg = cfg
+        self.events = EventLog(cfg["instance"], cfg["data_centre"], self._clock)
+        self._adapters = adapters or http_adapters(cfg)
+        self._links: PeerLinks | None = None
+        self.parts = Parts(
+            cfg,
+            self._adapters,
+            self._peer_links,
+            self._ports,
+            self._clock,
+            self.events,
+        )
+        self.entry = EntryServer(cfg, self.parts, self._clock, self.events)
+        self._metrics = Metrics(cfg.get("statsd"), cfg["instance"])
+        self.events.subscribe(self._count_event)
+        self._running: list[Service] = []
+
+    def _peer_links(self, parts: Parts) -> PeerNetwork:
+        self._links = PeerLinks(
+            self.cfg["peers"],
+            lambda: parts.membership.session,
+            parts.membership.live,
+            self._clock,
+            self.events,
+        )
+        return self._links
+
+    def _ports(self) -> tuple[int, int]:
+        peer_port = self._links.port if self._links is not None else 0
+        return peer_port, self.entry.port
+
+    def _count_event(self, record: EventRecord) -> None:
+        self._metrics.count(record.event.name.lower())
+
+    async def on_start(self) -> None:
+        """Start all parts; the instance is ready once it has a configuration."""
+        self.events.emit(
+            Event.INSTANCE_STARTED,
+            callers=dict(self.cfg["callers"]),
+            peers=dict(self.cfg["peers"]),
+        )
+        network: list[Service] = [self.entry]
+        if self._links is not None:
+            network.append(self._links)
+        for service in (
+            *self._adapters.services,
+            *network,
+            *self.parts.background_services(),
+        ):
+            await service.start()
+            self._running.append(service)
+        self.add_future(
+            run_forever(self, TICK_MS, self._check_state, self._clock, self.events)
+        )
+
+    async def _check_state(self) -> None:
+        parts = self.parts
+        if parts.readiness.paused_ms() > LONGEST_PAUSE_MS:
+            await parts.configuration.refresh()
+            await parts.membership.refresh()
+            await parts.ownership.refresh()
+        if parts.configuration.version > 0:
+            parts.readiness.configured()
+        parts.readiness.tick()
+        parts.membership.set_ready(parts.readiness.not_ready() is None)
+        self._metrics.gauge("requests_in_progress", self.entry.requests_in_progress)
+
+    async def drain(self) -> None:
+        """Stop as planned: hand over the shards and finish what is in progress."""
+        timing = self.cfg["timing"]
+        limit_ms = self._clock.now_ms() + timing["drain_ms"] + timing["stop_limit_ms"]
+        self.parts.readiness.drain()
+        self.parts.membership.set_ready(False)
+        self.events.emit(Event.INSTANCE_DRAINING)
+        await self._clock.sleep_ms(timing["drain_ms"])
+        await self.parts.ownership.hand_over()
+        while self._work_in_progress() and self._clock.now_ms() < limit_ms:
+            await self._clock.sleep_ms(STOP_POLL_MS)
+        await self.parts.membership.leave()
+
+    def _work_in_progress(self) -> int:
+        return self.entry.requests_in_progress + self.parts.dispatcher.in_progress
+
+    async def on_stop(self) -> None:
+        """Stop all parts in reverse order."""
+        for service in reversed(self._running):
+            await service.stop()
+        if self._adapters.close is not None:
+            await self._adapters.close()
+        self.events.emit(Event.INSTANCE_STOPPED)
+        self._metrics.close()
+
+
+async def run_instance(cfg: Settings) -> Code:
+    """Run an instance until SIGTERM or SIGINT, then stop it as planned."""
+    configure_logging(cfg["log_level"])
+    stopping = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopping.set)
+    instance = Instance(cfg)
+    await instance.start()
+    await stopping.wait()
+    await instance.drain()
+    await instance.stop()
+    return Code.OK
--- /dev/null
+++ b/hyssopweir/placed.py
@@ -0,0 +1,40 @@
+"""What this instance has placed on its workers."""
+
+from hyssopweir.placement import Demand
+from hyssopweir.task_rows import Entry
+
+
+class Placed:
+    """Remember what this instance has placed on each worker, and failures there."""
+
+    def __init__(self) -> None:
+        self._runs: dict[str, dict[str, Demand]] = {}
+        self._teams: dict[str, set[str]] = {}
+        self._failures: dict[str, int] = {}
+
+    def add(self, entry: Entry, worker_id: str, run_id: str) -> None:
+        """Count a run that starts, or that was found after a change of owner."""
+        self._runs.setdefault(worker_id, {})[run_id] = entry.job.demand
+        self._teams.setdefault(entry.job.spec["team"], set()).add(run_id)
+
+    def remove(self, entry: Entry, worker_id: str, run_id: str) -> None:
+        """Stop counting a run that ended."""
+        self._runs.get(worker_id, {}).pop(run_id, None)
+        self._teams.get(entry.job.spec["team"], set()).discard(run_id)
+
+    def on(self, worker_id: str) -> list[Demand]:
+        """Return what the runs on a worker need."""
+        return list(self._runs.get(worker_id, {}).values())
+
+    def of_team(self, team: str) -> int:
+        """Return the number of a team's runs."""
+        return len(self._teams.get(team, ()))
+
+    def note_end(self, worker_id: str, failed: bool) -> None:
+        """Count failures in a row of a worker."""
+        count = self._failures.get(worker_id, 0)
+        self._failures[worker_id] = count + 1 if failed else 0
+
+    def failures(self, worker_id: str) -> int:
+        """Return the number of failed runs since the last success."""
+        return self._failures.get(worker_id, 0)
--- /dev/null
+++ b/hyssopweir/placement.py
@@ -0,0 +1,241 @@
+"""Choice of a worker for a task within a shard, with the reasons in plain words."""
+
+from collections.abc import Collection, Iterable, Sequence
+from enum import Enum
+from typing import Any, NamedTuple
+
+from hyssopweir.contracts import JobSpec
+from hyssopweir.fleet import Worker
+
+MOST_ALTERNATIVES = 4
+# Sums of fractions of cores and memory are compared with this tolerance.
+TOLERANCE = 1e-6
+
+
+class Demand(NamedTuple):
+    """State what a task needs of a worker."""
+
+    cores: float
+    memory_gb: float
+    accelerators: int = 0
+    data_centre: str | None = None
+
+    def __str__(self) -> str:
+        parts = [f"{self.cores:g} cores", f"{self.memory_gb:g} GB of memory"]
+        if self.accelerators:
+            parts.append(f"{self.accelerators} accelerators")
+        if self.data_centre is not None:
+            parts.append(f"a place in {self.data_centre}")
+        return ", ".join(parts[:-1]) + " and " + parts[-1]
+
+
+class Candidate(NamedTuple):
+    """Hold a worker with what the owner has not yet given away there."""
+
+    worker: Worker
+    free_cores: float
+    free_memory_gb: float
+    free_accelerators: int
+    free_slots: int
+    leaving: bool = False
+    ready: bool = True
+    failures: int = 0
+
+
+class Verdict(Enum):
+    """Say what became of a placement."""
+
+    PLACED = "placed"
+    WAIT = "wait"
+    NEVER_HERE = "never_here"
+    NEVER = "never"
+
+
+class Choice(NamedTuple):
+    """Hold the chosen worker, or why there is none, in plain words with figures."""
+
+    verdict: Verdict
+    worker: Worker | None
+    text: str
+    figures: dict[str, Any]
+
+
+def demand_of(spec: JobSpec) -> Demand:
+    """Return what each task of a job needs."""
+    return Demand(
+        spec["cores"],
+        spec["memory_gb"],
+        spec.get("accelerators", 0),
+        spec.get("data_centre"),
+    )
+
+
+def is_large_enough(demand: Demand, worker: Worker) -> bool:
+    """Tell whether the worker could run the task if it were empty."""
+    return (
+        demand.data_centre in (None, worker.data_centre)
+        and worker.cores + TOLERANCE >= demand.cores
+        and worker.memory_gb + TOLERANCE >= demand.memory_gb
+        and worker.accelerators >= demand.accelerators
+        and worker.slots > 0
+    )
+
+
+def suits(
+    demand: Demand, workers: Iterable[Worker], failed_on: Collection[str]
+) -> bool:
+    """Tell whether any of the workers may ever run the task."""
+    return any(
+        is_large_enough(demand, worker) and worker.worker_id not in failed_on
+        for worker in workers
+    )
+
+
+def choose(
+    demand: Demand,
+    candidates: Sequence[Candidate],
+    failed_on: Collection[str],
+    fleet: Sequence[Worker],
+) -> Choice:
+    """Choose the worker of a shard that the task fills best.
+
+    ``fleet`` holds the workers of all shards; it only decides between ``NEVER_HERE``
+    and ``NEVER``.
+    """
+    rejected = {
+        candidate.worker.worker_id: why
+        for candidate in candidates
+        if (why := _obstacle(demand, candidate, failed_on)) is not None
+    }
+    fitting = [item for item in candidates if item.worker.worker_id not in rejected]
+    if fitting:
+        return _placed(
+            demand, sorted(fitting, key=lambda c: _rank(demand, c)), rejected
+        )
+    if suits(demand, (item.worker for item in candidates), failed_on):
+        return _waiting(demand, rejected)
+    return _impossible(demand, failed_on, fleet, rejected)
+
+
+def _obstacle(
+    demand: Demand,
+    candidate: Candidate,
+    failed_on: Collection[str],
+) -> str | None:
+    """Return why the worker can't take the task now, None if it can."""
+    worker = candidate.worker
+    checks = (
+        (not is_large_enough(demand, worker), "is too small or in the wrong place"),
+        (worker.worker_id in failed_on, "failed this task before"),
+        (candidate.leaving, "is leaving"),
+        (not candidate.ready, "does not answer"),
+        (candidate.free_slots <= 0, "has no free slot for tasks"),
+        (
+            candidate.free_cores + TOLERANCE < demand.cores,
+            f"has only {max(candidate.free_cores, 0):g} cores free",
+        ),
+        (
+            candidate.free_memory_gb + TOLERANCE < demand.memory_gb,
+            f"has only {max(candidate.free_memory_gb, 0):g} GB of memory free",
+        ),
+        (
+            candidate.free_accelerators < demand.accelerators,
+            f"has only {max(candidate.free_accelerators, 0)} accelerators free",
+        ),
+    )
+    return next((why for holds, why in checks if holds), None)
+
+
+def _rank(demand: Demand, candidate: Candidate) -> tuple[int, int, float, str]:
+    """Prefer workers without failures, then the least capacity left over."""
+    worker = candidate.worker
+    left_cores = (candidate.free_cores - demand.cores) / worker.cores
+    left_memory = (candidate.free_memory_gb - demand.memory_gb) / worker.memory_gb
+    return (
+        candidate.failures,
+        candidate.free_accelerators - demand.accelerators,
+        round(left_cores + left_memory, 9),
+        worker.worker_id,
+    )
+
+
+def _placed(
+    demand: Demand,
+    ranked: list[Candidate],
+    rejected: dict[str, str],
+) -> Choice:
+    best = ranked[0]
+    text = (
+        f"{best.worker.worker_id} was chosen: the task needs {demand}, and the worker "
+        f"had {_free(best)} free, the closest fit"
+    )
+    others = ranked[1 : 1 + MOST_ALTERNATIVES]
+    if others:
+        listed = "; ".join(f"{c.worker.worker_id} had {_free(c)} free" for c in others)
+        text += f". It would also have fitted elsewhere: {listed}"
+    figures = {
+        "free": {c.worker.worker_id: _figures(c) for c in [best, *others]},
+        "rejected": _shorten(rejected),
+    }
+    return Choice(Verdict.PLACED, best.worker, text, figures)
+
+
+def _waiting(demand: Demand, rejected: dict[str, str]) -> Choice:
+    text = f"no worker of this rack can take the task now: {_listed(rejected)}"
+    figures = {"needs": str(demand), "rejected": _shorten(rejected)}
+    return Choice(Verdict.WAIT, None, text, figures)
+
+
+def _impossible(
+    demand: Demand,
+    failed_on: Collection[str],
+    fleet: Sequence[Worker],
+    rejected: dict[str, str],
+) -> Choice:
+    figures: dict[str, Any] = {"needs": str(demand), "rejected": _shorten(rejected)}
+    # An empty list means that it was not read yet, not that there are no workers.
+    if not fleet or suits(demand, fleet, failed_on):
+        text = f"no worker of this rack can ever run the task: {_listed(rejected)}"
+        return Choice(Verdict.NEVER_HERE, None, text, figures)
+    figures["largest"] = {
+        "cores": max(worker.cores for worker in fleet),
+        "memory_gb": max(worker.memory_gb for worker in fleet),
+        "accelerators": max(worker.accelerators for worker in fleet),
+    }
+    text = f"no worker anywhere can run the task, which needs {demand}"
+    if failed_on and suits(demand, fleet, ()):
+        text = (
+            "the task failed on every worker that is large enough: "
+            f"{', '.join(sorted(failed_on))}"
+        )
+    return Choice(Verdict.NEVER, None, text, figures)
+
+
+def _free(candidate: Candidate) -> str:
+    text = f"{candidate.free_cores:g} cores and {candidate.free_memory_gb:g} GB"
+    if candidate.free_accelerators:
+        text += f" and {candidate.free_accelerators} accelerators"
+    return text
+
+
+def _figures(candidate: Candidate) -> dict[str, Any]:
+    return {
+        "cores": candidate.free_cores,
+        "memory_gb": candidate.free_memory_gb,
+        "accelerators": candidate.free_accelerators,
+        "slots": candidate.free_slots,
+        "failures": candidate.failures,
+    }
+
+
+def _shorten(rejected: dict[str, str]) -> dict[str, str]:
+    return dict(sorted(rejected.items())[: 2 * MOST_ALTERNATIVES])
+
+
+def _listed(rejected: dict[str, str]) -> str:
+    if not rejected:
+        return "the list shows no worker in it"
+    short = _shorten(rejected)
+    text = "; ".join(f"{worker_id} {why}" for worker_id, why in short.items())
+    more = len(rejected) - len(short)
+    return text + (f"; and {more} more" if more else "")
--- /dev/null
+++ b/hyssopweir/plan_accounts.py
@@ -0,0 +1,160 @@
+"""Readable accounts of plans: what changes, what is expected, what is not promised."""
+
+from collections.abc import Iterator
+from typing import Any
+
+from hyssopweir.intents import (
+    NOTED_FIELDS,
+    NOUNS,
+    Body,
+    FleetFacts,
+    changes_between,
+)
+
+TITLES = {
+    "changes": "What changes",
+    "expected": "What is expected",
+    "not_promised": "What is not promised",
+}
+# Fields that some module acts on; the others are recorded only, and plans say so.
+# docs/configuration.md shows the same, checked by a test.
+ENFORCED_FIELDS = frozenset(
+    {"services.idempotent", "services.urgent", "teams.quota_slots"}
+)
+
+
+def make_account(
+    intent: Body,
+    base: Body,
+    body: Body,
+    facts: FleetFacts,
+) -> dict[str, list[str]]:
+    """Return the account of a plan as lists of sentences."""
+    changes = [str(change) for change in changes_between(base, body)]
+    return {
+        "changes": changes or ["Nothing: the configuration already says this."],
+        "expected": list(_expected(intent, body)),
+        "not_promised": [
+            *_recorded_only(intent),
+            *_not_promised(intent, body, facts),
+        ],
+    }
+
+
+def account_text(plan: dict[str, Any]) -> str:
+    """Return the account of a plan as text for people."""
+    lines = [f"Plan {plan['id']} ({plan['state']}), based on {plan['based_on']}"]
+    for part, title in TITLES.items():
+        sentences = plan["account"][part]
+        if sentences:
+            lines += ["", f"{title}:", *(f"  {sentence}" for sentence in sentences)]
+    return "\n".join(lines)
+
+
+def section_text(plan: dict[str, Any], section: str, name: str) -> str:
+    """Return what a plan does to one service, batch kind or team, and why."""
+    before, after = (
+        {section: {name: plan[body].get(section, {}).get(name, {})}}
+        for body in ("base", "configuration")
+    )
+    changes = [str(change) for change in changes_between(before, after)]
+    noun = NOUNS[section]
+    if not changes:
+        return f"The plan does not change {noun} {name}."
+    lines = [*changes, f"The intent names {noun} {name}, and only that changes it."]
+    for part in ("expected", "not_promised"):
+        lines += [line for line in plan["account"][part] if f"{noun} {name} " in line]
+    return "\n".join(lines)
+
+
+def _expected(intent: Body, body: Body) -> Iterator[str]:
+    yield (
+        "All entry instances that can read the table service or reach a peer follow "
+        "within 4 s of the confirmation."
+    )
+    for name, wish in intent.get("services", {}).items():
+        if wish is None:
+            yield f"Requests to service {name} are refused with UNKNOWN_SERVICE."
+        elif body["services"][name].get("urgent"):
+            yield (
+                f"Requests to service {name} go before others in the queue; others "
+                "wait longer when slots are short, by how much is not known."
+            )
+    for name, wish in intent.get("batch", {}).items():
+        paused = wish is not None and body["batch"][name].get("paused")
+        if paused and "batch.paused" in ENFORCED_FIELDS:
+            yield f"No task of batch kind {name} starts; running ones go on."
+    for name, wish in intent.get("teams", {}).items():
+        quota = None if wish is None else body["teams"][name].get("quota_slots")
+        if quota is not None:
+            yield f"Starts of team {name} stop at {quota} slots; none is evicted."
+
+
+def _recorded_only(intent: Body) -> Iterator[str]:
+    for section, noun in NOUNS.items():
+        for name, wish in intent.get(section, {}).items():
+            fields = [
+                field
+                for field in wish or {}
+                if f"{section}.{field}" not in ENFORCED_FIELDS
+                and field not in NOTED_FIELDS
+            ]
+            if fields:
+                yield (
+                    f"That {noun} {name} is treated differently for "
+                    f"{', '.join(fields)}: recorded, but this version does not act on "
+                    "it."
+                )
+    if "weights" in intent:
+        yield "That weights change placement: this version does not act on them."
+
+
+def _not_promised(intent: Body, body: Body, facts: FleetFacts) -> Iterator[str]:
+    for name, wish in intent.get("services", {}).items():
+        if wish is not None:
+            yield from _service_limits(name, wish, body["services"][name])
+    for name, wish in intent.get("batch", {}).items():
+        finish_by = None if wish is None else body["batch"][name].get("finish_by")
+        if finish_by is not None:
+            yield (
+                f"That batch kind {name} is done by {finish_by}: its run times are "
+                "declared by its callers and are often wrong."
+            )
+    for name, wish in intent.get("teams", {}).items():
+        if wish is not None and "quota_slots" in body["teams"][name]:
+            yield (
+                f"That team {name} stays within its quota in total: each entry "
+                "instance counts only the tasks on the racks that it owns."
+            )
+    quotas = [team.get("quota_slots") or 0 for team in body.get("teams", {}).values()]
+    if intent.get("teams") and facts.slots and sum(quotas) > facts.slots:
+        yield (
+            f"That all teams reach their quotas at once: they sum up to {sum(quotas)} "
+            f"slots, and the listed workers have {facts.slots}."
+        )
+    if intent.get("teams") and not facts.slots:
+        yield "That the quotas fit the fleet: no worker is listed at the moment."
+
+
+def _service_limits(name: str, wish: Body, service: Body) -> Iterator[str]:
+    target_ms = service.get("latency_target_ms")
+    if target_ms is not None:
+        percentile = wish.get("percentile")
+        share = f" for {percentile:g}% of requests" if percentile else ""
+        yield (
+            f"That service {name} answers in {target_ms} ms{share}: interference "
+            "between tasks is known only from measurements that arrive late."
+        )
+    if "percentile" in wish:
+        yield (
+            f"That the percentile of service {name} steers anything: it is recorded "
+            "in the plan only."
+        )
+    if "hours" in wish:
+        hours = wish["hours"]
+        days = ", ".join(hours["days"])
+        yield (
+            f"That the hours of service {name} ({days} {hours['from']} to "
+            f"{hours['to']}, {hours['time_zone']}) steer anything: they are recorded "
+            "in the plan only, and the target holds all day."
+        )
--- /dev/null
+++ b/hyssopweir/platform_client.py
@@ -0,0 +1,471 @@
+"""HTTP adapters of the table service, the object store and the instance list.
+
+``HttpSession``, ``exchange`` and ``field`` are shared with ``worker_http``.
+"""
+
+import asyncio
+import ipaddress
+import json
+from collections.abc import Mapping, Sequence
+from enum import Enum
+from io import BytesIO
+from types import SimpleNamespace
+from typing import Any, NamedTuple
+
+import aiohttp
+from aiohttp.http_exceptions import HttpProcessingError
+from mode import Service
+from result import Err, Ok, Result
+from yarl import URL
+
+from hyssopweir.clock import Millis
+from hyssopweir.codes import Code, Failure, not_run, unknown
+from hyssopweir.fleet import Listing, Worker
+from hyssopweir.settings import Address
+from hyssopweir.standin_table import operation_to_dict
+from hyssopweir.table import Operation, Put, Row
+
+CHUNK_BYTES = 65_536
+MOST_REPLY_BYTES = 32 * 1_048_576
+MOST_OBJECT_BYTES = 16 * 1_048_576
+
+OK_STATUS = 200
+NO_CONTENT = 204
+BAD_REQUEST = 400
+MISSING = 404
+CONFLICT = 409
+SERVER_ERROR = 500
+UNAVAILABLE = 503
+
+
+class Reply(NamedTuple):
+    """Hold a whole HTTP reply."""
+
+    status: int
+    body: bytes
+
+
+class Breakdown(Enum):
+    """Say how an HTTP exchange failed."""
+
+    NOT_CONNECTED = "no connection could be opened"
+    NO_ANSWER = "no whole answer"
+    MALFORMED = "not HTTP"
+    TOO_LARGE = "the answer is too large"
+
+
+class ExchangeError(NamedTuple):
+    """Describe a failed exchange; ``status`` is 0 if none was received."""
+
+    kind: Breakdown
+    detail: str
+    status: int = 0
+
+    def __str__(self) -> str:
+        return f"{self.kind.value}: {self.detail}"
+
+
+class Progress:
+    """Tell whether a connection was there, so that bytes may have been sent."""
+
+    connected = False
+
+
+def new_session(connections: int) -> aiohttp.ClientSession:
+    """Return a session that keeps no cookies and reads bodies as they are sent."""
+    trace = aiohttp.TraceConfig()
+    trace.on_connection_create_end.append(_note_connected)
+    trace.on_connection_reuseconn.append(_note_connected)
+    return aiohttp.ClientSession(
+        connector=aiohttp.TCPConnector(limit=connections),
+        cookie_jar=aiohttp.DummyCookieJar(),
+        timeout=aiohttp.ClientTimeout(),
+        headers={"Accept-Encoding": "identity"},
+        auto_decompress=False,
+        trace_configs=[trace],
+    )
+
+
+async def _note_connected(_: Any, context: SimpleNamespace, __: Any) -> None:
+    context.trace_request_ctx.connected = True
+
+
+async def exchange(
+    session: aiohttp.ClientSession,
+    method: str,
+    address: tuple[str, int],
+    path: str,
+    timeout_ms: Millis,
+    body: bytes | None = None,
+    query: Mapping[str, str] | None = None,
+    limit: int = MOST_REPLY_BYTES,
+) -> Result[Reply, ExchangeError]:
+    """Send a request and read the whole reply of at most ``limit`` bytes."""
+    progress = Progress()
+    try:
+        url = URL.build(
+            scheme="http", host=address[0], port=address[1], path=path, query=query
+        )
+        async with (
+            asyncio.timeout(timeout_ms / 1_000),
+            session.request(
+                method,
+                url,
+                # aiohttp sends a stream in chunks, but bytes in one write.
+                data=None if body is None else BytesIO(body),
+                allow_redirects=False,
+                trace_request_ctx=progress,
+            ) as response,
+        ):
+            return await _read_reply(response, limit)
+    except (aiohttp.ClientResponseError, HttpProcessingError) as exc:
+        return Err(ExchangeError(Breakdown.MALFORMED, _describe(exc)))
+    except (aiohttp.ClientError, OSError, ValueError, EOFError) as exc:
+        kind = Breakdown.NO_ANSWER if progress.connected else Breakdown.NOT_CONNECTED
+        return Err(ExchangeError(kind, _describe(exc)))
+
+
+async def _read_reply(
+    response: aiohttp.ClientResponse,
+    limit: int,
+) -> Result[Reply, ExchangeError]:
+    body = bytearray()
+    if (response.content_length or 0) <= limit:
+        async for chunk in response.content.iter_chunked(CHUNK_BYTES):
+            body += chunk
+            if len(body) > limit:
+                break
+        else:
+            return Ok(Reply(response.status, bytes(body)))
+    response.close()
+    detail = f"more than {limit} bytes"
+    return Err(ExchangeError(Breakdown.TOO_LARGE, detail, response.status))
+
+
+def _describe(exc: Exception) -> str:
+    return str(exc) or type(exc).__name__
+
+
+def to_json(data: Any) -> Result[bytes, str]:
+    """Return ``data`` as JSON; the error says why it can't be written."""
+    try:
+        return Ok(json.dumps(data, allow_nan=False).encode())
+    except (TypeError, ValueError, RecursionError) as exc:
+        return Err(f"not JSON: {exc}")
+
+
+def from_json(body: bytes) -> Any:
+    """Return the JSON value in ``body``; raise ``ValueError`` if there is none."""
+    try:
+        return json.loads(body)
+    except RecursionError as exc:
+        raise ValueError("nested too deeply") from exc
+
+
+def field(data: Any, name: str, *kinds: type) -> Any:
+    """Return a field whose type is one of ``kinds``, else raise ``ValueError``.
+
+    A bool is not accepted as an int.
+    """
+    if not isinstance(data, dict) or name not in data:
+        raise ValueError(f"{name} is missing")
+    if type(data[name]) not in kinds:
+        raise ValueError(f"{name} has the wrong type")
+    return data[name]
+
+
+class HttpSession(Service):
+    """Exchange messages with the platform under one deadline for each call."""
+
+    def __init__(self, address: Address, timeout_ms: Millis) -> None:
+        super().__init__()
+        self._address = (address["host"], address["port"])
+        self._timeout_ms = timeout_ms
+        self._session: aiohttp.ClientSession | None = None
+
+    async def on_stop(self) -> None:
+        """Close all connections."""
+        if self._session is not None:
+            await self._session.close()
+
+    async def send(
+        self,
+        method: str,
+        path: str,
+        body: bytes | None = None,
+        query: Mapping[str, str] | None = None,
+        limit: int = MOST_REPLY_BYTES,
+    ) -> Result[Reply, ExchangeError]:
+        """Send a request and read the whole reply."""
+        # A session can only be made while the event loop runs.
+        if self._session is None:
+            self._session = new_session(connections=0)
+        return await exchange(
+            self._session,
+            method,
+            self._address,
+            path,
+            self._timeout_ms,
+            body,
+            query,
+            limit,
+        )
+
+
+class HttpTableService:
+    """Implement ``TableService`` over HTTP and JSON."""
+
+    def __init__(self, http: HttpSession) -> None:
+        self._http = http
+
+    async def read(self, key: str) -> Result[Row | None, Failure]:
+        """Return the row ``key``, None if it does not exist."""
+        reply = await self._query("/v1/table/read", {"key": key})
+        if isinstance(reply, Err):
+            return reply
+        try:
+            return Ok(_read_row(reply.ok_value, key))
+        except ValueError as exc:
+            return Err(_junk(exc))
+
+    async def scan(
+        self,
+        prefix: str,
+        after: str = "",
+        limit: int = 1_000,
+    ) -> Result[list[Row], Failure]:
+        """Return rows whose key starts with ``prefix``, in key order."""
+        question = {"prefix": prefix, "after": after, "limit": limit}
+        reply = await self._query("/v1/table/scan", question)
+        if isinstance(reply, Err):
+            return reply
+        try:
+            return Ok(_read_page(reply.ok_value, prefix, after, limit))
+        except ValueError as exc:
+            return Err(_junk(exc))
+
+    async def commit(
+        self,
+        operations: Sequence[Operation],
+        transaction: str,
+    ) -> Result[dict[str, int], Failure]:
+        """Apply all operations or none; return the new versions by key."""
+        body = to_json(
+            {
+                "operations": [operation_to_dict(op) for op in operations],
+                "transaction": transaction,
+            }
+        )
+        if isinstance(body, Err):
+            return Err(not_run(Code.STORE_JUNK, body.err_value))
+        reply = await self._http.send("POST", "/v1/table/commit", body.ok_value)
+        if isinstance(reply, Err):
+            return Err(_write_failure(reply.err_value))
+        try:
+            return _read_commit(reply.ok_value, operations)
+        except ValueError as exc:
+            # The write may have taken effect; this code has it read back.
+            return Err(unknown(Code.STORE_OUTCOME_UNKNOWN, f"unreadable reply: {exc}"))
+
+    async def _query(
+        self, path: str, question: dict[str, Any]
+    ) -> Result[Reply, Failure]:
+        body = to_json(question)
+        if isinstance(body, Err):
+            return Err(not_run(Code.STORE_JUNK, body.err_value))
+        return _check_read(await self._http.send("POST", path, body.ok_value))
+
+
+class HttpObjectStore:
+    """Implement ``ObjectStore`` over HTTP; bodies travel as raw bytes.
+
+    The key travels in the query, where no part of it can change the path.
+    """
+
+    def __init__(self, http: HttpSession) -> None:
+        self._http = http
+
+    async def put(self, key: str, body: bytes) -> Result[None, Failure]:
+        """Write an object; the same key and body may be written again."""
+        sent = await self._http.send("PUT", "/v1/object", body, {"key": key})
+        if isinstance(sent, Err):
+            return Err(_write_failure(sent.err_value))
+        reply = sent.ok_value
+        if reply.status == NO_CONTENT:
+            return Ok(None)
+        if reply.status == UNAVAILABLE:
+            return Err(_unavailable("the object store answered 503"))
+        detail = f"the object store answered {reply.status}"
+        return Err(unknown(Code.STORE_OUTCOME_UNKNOWN, detail))
+
+    async def get(self, key: str) -> Result[bytes | None, Failure]:
+        """Return an object, None if it does not exist."""
+        reply = _check_read(
+            await self._http.send(
+                "GET", "/v1/object", query={"key": key}, limit=MOST_OBJECT_BYTES
+            ),
+            (OK_STATUS, MISSING),
+        )
+        if isinstance(reply, Err):
+            return reply
+        if reply.ok_value.status == OK_STATUS:
+            return Ok(reply.ok_value.body)
+        try:
+            # A 404 of another origin must not pass for a missing object.
+            if field(from_json(reply.ok_value.body), "exists", bool):
+                raise ValueError("a missing object is said to exist")
+        except ValueError as exc:
+            return Err(_junk(exc))
+        return Ok(None)
+
+
+class HttpInstanceList:
+    """Implement ``InstanceList`` over HTTP and JSON."""
+
+    def __init__(self, http: HttpSession) -> None:
+        self._http = http
+
+    async def read(self) -> Result[list[Listing], Failure]:
+        """Return all listed workers, or ``LIST_UNAVAILABLE``."""
+        reply = _check_read(await self._http.send("GET", "/v1/instances"))
+        if isinstance(reply, Err):
+            return Err(not_run(Code.LIST_UNAVAILABLE, reply.err_value.detail))
+        try:
+            return Ok(_read_listings(reply.ok_value))
+        except ValueError as exc:
+            return Err(not_run(Code.LIST_UNAVAILABLE, f"unreadable list: {exc}"))
+
+
+def listing_to_dict(listing: Listing) -> dict[str, Any]:
+    """Return the JSON form of a listing."""
+    return {**listing.worker._asdict(), "leaving": listing.leaving}
+
+
+def _check_read(
+    sent: Result[Reply, ExchangeError],
+    accepted: tuple[int, ...] = (OK_STATUS,),
+) -> Result[Reply, Failure]:
+    if isinstance(sent, Err):
+        return Err(_read_failure(sent.err_value))
+    reply = sent.ok_value
+    if reply.status in accepted:
+        return Ok(reply)
+    detail = f"the platform answered {reply.status}"
+    if reply.status >= SERVER_ERROR:
+        return Err(_unavailable(detail))
+    return Err(not_run(Code.STORE_JUNK, detail))
+
+
+def _read_failure(error: ExchangeError) -> Failure:
+    if error.kind in (Breakdown.MALFORMED, Breakdown.TOO_LARGE):
+        return not_run(Code.STORE_JUNK, str(error))
+    return _unavailable(str(error))
+
+
+def _write_failure(error: ExchangeError) -> Failure:
+    if error.kind is Breakdown.NOT_CONNECTED:
+        return _unavailable(str(error))
+    return unknown(Code.STORE_OUTCOME_UNKNOWN, str(error))
+
+
+def _unavailable(detail: str) -> Failure:
+    return not_run(Code.STORE_UNAVAILABLE, detail)
+
+
+def _junk(exc: ValueError) -> Failure:
+    return not_run(Code.STORE_JUNK, f"unreadable reply: {exc}")
+
+
+def _read_row(reply: Reply, key: str) -> Row | None:
+    data = from_json(reply.body)
+    found = field(data, "row", dict, type(None))
+    if found is None:
+        return None
+    row = _row(found)
+    if row.key != key:
+        raise ValueError("a row that was not asked for")
+    return row
+
+
+def _read_page(reply: Reply, prefix: str, after: str, limit: int) -> list[Row]:
+    """Return a page; keys that do not advance would make a scan endless."""
+    rows = [_row(data) for data in field(from_json(reply.body), "rows", list)]
+    if len(rows) > limit:
+        raise ValueError("more rows than asked for")
+    for row in rows:
+        if not row.key.startswith(prefix) or row.key <= after:
+            raise ValueError("a row outside of the scan")
+        after = row.key
+    return rows
+
+
+def _row(data: Any) -> Row:
+    version = field(data, "version", int)
+    if version < 1:
+        raise ValueError("version is not positive")
+    return Row(
+        field(data, "key", str),
+        version,
+        field(data, "transaction", str),
+        field(data, "value", dict),
+    )
+
+
+def _read_commit(
+    reply: Reply,
+    operations: Sequence[Operation],
+) -> Result[dict[str, int], Failure]:
+    if reply.status == UNAVAILABLE:
+        return Err(_unavailable("the table service answered 503"))
+    if reply.status not in (OK_STATUS, BAD_REQUEST, CONFLICT):
+        raise ValueError(f"the table service answered {reply.status}")
+    data = from_json(reply.body)
+    if reply.status == CONFLICT:
+        return Err(not_run(Code.STORE_CONFLICT, field(data, "conflict", str)))
+    if reply.status == BAD_REQUEST:
+        return Err(not_run(Code.STORE_JUNK, field(data, "bad_request", str)))
+    versions = field(data, "versions", dict)
+    if set(versions) != {op.key for op in operations}:
+        raise ValueError("versions of other rows than those written")
+    written = {op.key for op in operations if isinstance(op, Put)}
+    for key in versions:
+        if field(versions, key, int) < (1 if key in written else 0):
+            raise ValueError("a version is out of range")
+    return Ok(versions)
+
+
+def _read_listings(reply: Reply) -> list[Listing]:
+    """Return the list; one bad entry refuses it whole.
+
+    A worker that is left out would look as if it had ended.
+    """
+    rows = field(from_json(reply.body), "workers", list)
+    listings = [
+        Listing(_worker(data), leaving=field(data, "leaving", bool)) for data in rows
+    ]
+    if len({listing.worker.worker_id for listing in listings}) < len(listings):
+        raise ValueError("a worker is listed twice")
+    return listings
+
+
+def _worker(data: Any) -> Worker:
+    worker = Worker(
+        field(data, "worker_id", str),
+        str(ipaddress.ip_address(field(data, "host", str))),
+        field(data, "port", int),
+        field(data, "data_centre", str),
+        field(data, "rack", str),
+        float(field(data, "cores", int, float)),
+        float(field(data, "memory_gb", int, float)),
+        field(data, "accelerators", int),
+        field(data, "slots", int),
+        field(data, "connections", int),
+    )
+    names = (worker.worker_id, worker.data_centre, worker.rack)
+    if not all(names) or not 0 < worker.port <= 65_535:
+        raise ValueError("an empty name or an impossible port")
+    if not (worker.cores >= 0 and worker.memory_gb >= 0):
+        raise ValueError("a negative size")
+    if min(worker.accelerators, worker.slots, worker.connections) < 0:
+        raise ValueError("a negative count")
+    return worker
--- a/hyssopweir/settings.py
+++ b/hyssopweir/settings.py
@@ -87,7 +87,7 @@
         data = json.loads(path.read_text(encoding="utf-8"))
     except (OSError, UnicodeDecodeError) as exc:
         return Err([Fault(Code.SETTINGS_UNREADABLE, "$", str(exc))])
-    except (json.JSONDecodeError, RecursionError) as exc:
+    except (ValueError, RecursionError) as exc:
         return Err([Fault(Code.SETTINGS_UNREADABLE, "$", f"not JSON: {exc}")])
     return check_settings(data)
 
--- /dev/null
+++ b/hyssopweir/standin_platform.py
@@ -0,0 +1,211 @@
+"""HTTP server of the platform's stand-in: table, objects and instance list."""
+
+import json
+import random
+from collections import deque
+from typing import Any
+
+from aiohttp import web
+from aiohttp.typedefs import Handler
+from result import Ok
+
+from hyssopweir.clock import Clock, Millis
+from hyssopweir.codes import Code
+from hyssopweir.fleet import Listing
+from hyssopweir.platform_client import (
+    BAD_REQUEST,
+    CONFLICT,
+    MISSING,
+    MOST_OBJECT_BYTES,
+    NO_CONTENT,
+    UNAVAILABLE,
+    field,
+    from_json,
+    listing_to_dict,
+)
+from hyssopweir.standin_table import StandinTable, operation_from_dict
+from hyssopweir.table import Row
+
+MOST_SCAN_ROWS = 1_000
+MOST_PAGE_BYTES = 4 * 1_048_576
+
+
+class PartFaults:
+    """Hold the faults of one part of the platform."""
+
+    def __init__(self) -> None:
+        self.down = False
+        self.writes_down = False
+        self.slow_ms: Millis = 0
+        self.lost_reply_share = 0.0
+
+    def change(self, data: dict[str, Any]) -> None:
+        """Change the named faults; raise ``ValueError`` on bad input."""
+        for name, value in data.items():
+            if name not in vars(self):
+                raise ValueError(f"no fault {name}")
+            kinds = (int, float) if name == "lost_reply_share" else ()
+            field(data, name, type(getattr(self, name)), *kinds)
+            if value < 0:
+                raise ValueError(f"{name} is negative")
+        vars(self).update(data)
+
+
+class LaggingList:
+    """Show the changes of the fleet after a lag, in order."""
+
+    def __init__(self, clock: Clock, lag_ms: Millis) -> None:
+        self.lag_ms = lag_ms
+        self._clock = clock
+        self._shown: dict[str, Listing] = {}
+        self._pending: deque[tuple[Millis, str, Listing | None]] = deque()
+
+    def show(self, listing: Listing) -> None:
+        """Show a worker at once."""
+        self._shown[listing.worker.worker_id] = listing
+
+    def change(self, worker_id: str, listing: Listing | None) -> None:
+        """Show a worker, or that it is gone, after the lag."""
+        due_ms = self._clock.now_ms() + self.lag_ms
+        if self._pending:
+            due_ms = max(due_ms, self._pending[-1][0])
+        self._pending.append((due_ms, worker_id, listing))
+
+    def read(self) -> list[Listing]:
+        """Return what the list shows now."""
+        while self._pending and self._pending[0][0] <= self._clock.now_ms():
+            _, worker_id, listing = self._pending.popleft()
+            if listing is None:
+                self._shown.pop(worker_id, None)
+            else:
+                self._shown[worker_id] = listing
+        return list(self._shown.values())
+
+
+class PlatformPart:
+    """Serve the table service, the object store and the instance list."""
+
+    def __init__(self, clock: Clock, lag_ms: Millis, seed: int) -> None:
+        self.table = StandinTable()
+        self.objects: dict[str, bytes] = {}
+        self.instances = LaggingList(clock, lag_ms)
+        self.faults = {name: PartFaults() for name in ("table", "objects", "list")}
+        self._clock = clock
+        self._random = random.Random(seed)
+
+    def make_app(self) -> web.Application:
+        """Return the application of the platform's address."""
+        app = web.Application(client_max_size=2 * MOST_OBJECT_BYTES)
+        app.add_routes(
+            [
+                web.post("/v1/table/read", self._with_faults("table", self._read)),
+                web.post("/v1/table/scan", self._with_faults("table", self._scan)),
+                web.post(
+                    "/v1/table/commit",
+                    self._with_faults("table", self._commit, writes=True),
+                ),
+                web.put(
+                    "/v1/object",
+                    self._with_faults("objects", self._put, writes=True),
+                ),
+                web.get("/v1/object", self._with_faults("objects", self._get)),
+                web.get("/v1/instances", self._with_faults("list", self._list)),
+            ]
+        )
+        return app
+
+    def _with_faults(
+        self,
+        name: str,
+        handler: Handler,
+        writes: bool = False,
+    ) -> Handler:
+        faults = self.faults[name]
+
+        async def handle(request: web.Request) -> web.StreamResponse:
+            await request.read()
+            await self._clock.sleep_ms(faults.slow_ms)
+            if faults.down or (writes and faults.writes_down):
+                return web.Response(status=UNAVAILABLE)
+            reply = await handler(request)
+            if self._random.random() < faults.lost_reply_share:
+                abort_reply(request)
+            return reply
+
+        return handle
+
+    async def _read(self, request: web.Request) -> web.Response:
+        try:
+            key = field(from_json(await request.read()), "key", str)
+        except ValueError as exc:
+            return bad_request(exc)
+        row = self.table.read(key)
+        return web.json_response({"row": row._asdict() if row is not None else None})
+
+    async def _scan(self, request: web.Request) -> web.Response:
+        try:
+            data = from_json(await request.read())
+            prefix = field(data, "prefix", str)
+            after = field(data, "after", str)
+            limit = min(field(data, "limit", int), MOST_SCAN_ROWS)
+        except ValueError as exc:
+            return bad_request(exc)
+        text = _page(self.table.scan(prefix, after, limit))
+        return web.Response(text=text, content_type="application/json")
+
+    async def _commit(self, request: web.Request) -> web.Response:
+        try:
+            data = from_json(await request.read())
+            operations = [
+                operation_from_dict(op) for op in field(data, "operations", list)
+            ]
+            transaction = field(data, "transaction", str)
+        except (ValueError, KeyError, TypeError, AttributeError) as exc:
+            return bad_request(exc)
+        reply = self.table.commit(operations, transaction)
+        if isinstance(reply, Ok):
+            return web.json_response({"versions": reply.ok_value})
+        if reply.err_value.code is Code.STORE_CONFLICT:
+            conflict = {"conflict": reply.err_value.detail}
+            return web.json_response(conflict, status=CONFLICT)
+        return bad_request(reply.err_value.detail)
+
+    async def _put(self, request: web.Request) -> web.Response:
+        body = await request.read()
+        if "key" not in request.query or len(body) > MOST_OBJECT_BYTES:
+            return bad_request("no key, or too large a body")
+        self.objects[request.query["key"]] = body
+        return web.Response(status=NO_CONTENT)
+
+    async def _get(self, request: web.Request) -> web.Response:
+        body = self.objects.get(request.query.get("key", ""))
+        if body is None:
+            return web.json_response({"exists": False}, status=MISSING)
+        return web.Response(body=body)
+
+    async def _list(self, request: web.Request) -> web.Response:
+        rows = [listing_to_dict(listing) for listing in self.instances.read()]
+        return web.json_response({"workers": rows})
+
+
+def _page(rows: list[Row]) -> str:
+    """Return a page, cut short at ``MOST_PAGE_BYTES`` but never empty of rows."""
+    parts: list[str] = []
+    size = 0
+    for row in rows:
+        parts.append(json.dumps(row._asdict()))
+        size += len(parts[-1])
+        if size > MOST_PAGE_BYTES:
+            break
+    return f'{{"rows": [{", ".join(parts)}]}}'
+
+
+def bad_request(reason: object) -> web.Response:
+    """Return the answer to a request that can't be read."""
+    return web.json_response({"bad_request": str(reason)}, status=BAD_REQUEST)
+
+
+def abort_reply(request: web.Request) -> None:
+    """Reset the connection, so that the reply is lost."""
+    if request.transport is not None:
+        request.transport.abort()
--- a/hyssopweir/standin_table.py
+++ b/hyssopweir/standin_table.py
@@ -96,6 +96,12 @@
     """Return the operation; raise ``KeyError`` or ``TypeError`` on bad input."""
     fields = {name: value for name, value in data.items() if name != "op"}
     operation: Operation = OPERATIONS[data["op"]](**fields)
+    # A wrong type would raise in the middle of a transaction and leave half of it.
+    for name, kind in FIELD_TYPES.items():
+        if name in fields and type(fields[name]) is not kind:
+            raise TypeError(f"{name} has the wrong type")
+    if isinstance(operation, Put) and not isinstance(operation.value, dict):
+        raise TypeError("value is not an object")
     return operation
 
 
@@ -105,3 +111,5 @@
     "check": Check,
     "require": Require,
 }
+
+FIELD_TYPES: dict[str, type] = {"key": str, "expected": int, "field": str}
--- a/hyssopweir/standin_workers.py
+++ b/hyssopweir/standin_workers.py
@@ -55,6 +55,11 @@
         if used >= worker.slots:
             self._violate("capacity", f"{worker.worker_id} offered beyond its slots")
 
+    def connected(self, worker: Worker, connections: int) -> None:
+        """Judge the number of open connections to a worker."""
+        if connections > worker.connections:
+            self._violate("capacity", f"{worker.worker_id}: {connections} connections")
+
     def offered_while_leaving(self, worker: Worker, since_ms: Millis) -> None:
         """Judge an offer of work to a worker that has been listed as leaving."""
         late_ms = self._clock.now_ms() - since_ms
@@ -159,6 +164,7 @@
         self._revision = 1
         self._runs: dict[str, Run] = {}
         self._refused: set[str] = set()
+        self._forgotten: set[str] = set()
         self._lease_until_ms: dict[str, Millis] = {}
         self._changed = asyncio.Event()
 
@@ -167,9 +173,13 @@
         """Tell whether the worker is leaving."""
         return self._leaving_since_ms is not None
 
-    def leave(self) -> None:
-        """Show the worker as leaving from now on."""
-        self._leaving_since_ms = self._clock.now_ms()
+    def leave(self, listed_in_ms: Millis = 0) -> None:
+        """Show the worker as leaving; the instance list follows in ``listed_in_ms``.
+
+        Offers are judged from the time at which the list shows it.
+        """
+        if self._leaving_since_ms is None:
+            self._leaving_since_ms = self._clock.now_ms() + listed_in_ms
         self._touch()
 
     def restart(self) -> None:
@@ -330,15 +340,14 @@
         for run_id in run_ids:
             run = self._runs.get(run_id)
             if run is not None and run.state is not RunState.RUNNING:
-                del self._runs[run_id]
-                self._refused.add(run_id)
+                self._forget(run_id)
         return Ok(None)
 
     def _refusal(self, fence: Fence, run_id: str) -> Failure | None:
         stale = self._fenced(fence)
         if stale is not None:
             return stale
-        if run_id in self._runs or run_id in self._refused:
+        if any(run_id in ids for ids in (self._runs, self._refused, self._forgotten)):
             return not_run(Code.WORKER_REFUSED, f"{run_id} was seen before")
         if self._leaving_since_ms is not None:
             self._account.offered_while_leaving(self.worker, self._leaving_since_ms)
@@ -360,6 +369,9 @@
         return not_run(Code.STALE_EPOCH, f"the epoch is {self.epoch}")
 
     def _absent(self, run_id: str) -> RunReport:
+        # "Never seen" lets the owner report that nothing ran.
+        if run_id in self._forgotten:
+            return RunReport(run_id, RunState.FORGOTTEN)
         return RunReport(run_id, RunState.NEVER_SEEN)
 
     def _inventory(self) -> Inventory:
@@ -423,8 +435,11 @@
             and run.ended_ms < limit_ms
         ]
         for run_id in old:
-            del self._runs[run_id]
-            self._refused.add(run_id)
+            self._forget(run_id)
+
+    def _forget(self, run_id: str) -> None:
+        del self._runs[run_id]
+        self._forgotten.add(run_id)
 
     def _touch(self) -> None:
         self._revision += 1
--- /dev/null
+++ b/hyssopweir/task_rows.py
@@ -0,0 +1,308 @@
+"""Rows of jobs, tasks and queues, and a task as its owner holds it in memory."""
+
+import asyncio
+from collections.abc import Sequence
+from typing import Any, NamedTuple, Protocol, TypedDict, cast
+
+from result import Err, Ok, Result
+
+from hyssopweir.clock import Clock, Millis
+from hyssopweir.codes import Failure
+from hyssopweir.contracts import (
+    JobRow,
+    JobSpec,
+    Reason,
+    TaskRow,
+    TaskState,
+    run_id_of,
+)
+from hyssopweir.events import EventLog
+from hyssopweir.fleet import Worker
+from hyssopweir.invariants import Invariants
+from hyssopweir.placement import Demand, demand_of
+from hyssopweir.table import Operation, TableStore
+from hyssopweir.worker_client import Fence, RunReport, WorkerClient
+
+MOST_REASONS = 20
+MOST_FAILED_WORKERS = 3
+# A margin for clock drift on top of a lease: a tenth of the term and this (2.4).
+LEASE_MARGIN_MS: Millis = 1_000
+
+LIVE_STATES = frozenset(
+    {TaskState.STARTING, TaskState.RUNNING, TaskState.EVICTING},
+)
+
+TRANSITIONS: dict[TaskState, frozenset[TaskState]] = {
+    TaskState.QUEUED: frozenset(
+        {TaskState.STARTING, TaskState.CANCELLED, TaskState.HELD},
+    ),
+    TaskState.STARTING: frozenset(
+        {
+            TaskState.RUNNING,
+            TaskState.QUEUED,
+            TaskState.DONE,
+            TaskState.FAILED,
+            TaskState.CANCELLED,
+        },
+    ),
+    TaskState.RUNNING: frozenset(
+        {
+            TaskState.DONE,
+            TaskState.FAILED,
+            TaskState.EVICTING,
+            TaskState.QUEUED,
+            TaskState.CANCELLED,
+        },
+    ),
+    TaskState.EVICTING: frozenset(
+        {TaskState.QUEUED, TaskState.DONE, TaskState.FAILED, TaskState.CANCELLED},
+    ),
+    TaskState.HELD: frozenset({TaskState.QUEUED, TaskState.CANCELLED}),
+    TaskState.DONE: frozenset(),
+    TaskState.FAILED: frozenset(),
+    TaskState.CANCELLED: frozenset(),
+}
+
+
+class QueueRow(TypedDict):
+    """Index a task that a shard holds, row ``queue/<shard>/<job>/<n>``.
+
+    ``at_ms`` is the wall clock time of the submission, which orders the queue.
+    """
+
+    job: str
+    n: int
+    urgent: bool
+    at_ms: Millis
+
+
+class SlotCount(Protocol):
+    """Count slots exactly; implemented by ``SlotLedger``."""
+
+    def take(self, worker_id: str, run_id: str, is_task: bool) -> bool:
+        """Take a slot; False if none is free."""
+        ...
+
+    def release(self, worker_id: str, run_id: str) -> None:
+        """Release the slot of a run whose end is certain."""
+        ...
+
+    def free(self, worker_id: str, is_task: bool) -> int:
+        """Return the number of free slots."""
+        ...
+
+
+class Links(Protocol):
+    """Know the claimed workers; implemented by ``WorkerLinks``."""
+
+    def fence_of(self, worker_id: str) -> Fence | None:
+        """Return the fence of a claimed worker."""
+        ...
+
+    def lease_until_ms(self, worker_id: str) -> Millis | None:
+        """Return the end of a new lease on the worker's clock."""
+        ...
+
+    def lease_sent_until_ms(self, worker_id: str) -> Millis:
+        """Return the last lease end sent, on the local clock."""
+        ...
+
+    def held_since_ms(self, shard: str) -> Millis | None:
+        """Return since when the shard is held without a break."""
+        ...
+
+
+class View(Protocol):
+    """Know the workers of the instance list; implemented by ``FleetView``."""
+
+    def workers(self) -> list[Worker]:
+        """Return the listed workers."""
+        ...
+
+    def worker(self, worker_id: str) -> Worker | None:
+        """Return a listed worker."""
+        ...
+
+    def workers_of(self, shard: str) -> list[Worker]:
+        """Return the listed workers of a shard."""
+        ...
+
+    def leaving_since_ms(self, worker_id: str) -> Millis | None:
+        """Return since when the worker is listed as leaving."""
+        ...
+
+    def gone_since_ms(self, worker_id: str) -> Millis | None:
+        """Return since when a worker listed before is not listed any more."""
+        ...
+
+
+class Owner(Protocol):
+    """Give up a shard; implemented by ``Ownership``."""
+
+    def lost(self, shard: str, epoch: int) -> None:
+        """Note that a worker or the table refused the epoch."""
+        ...
+
+
+class Commits(Protocol):
+    """Write under the fence of a shard; implemented by ``GroupCommit``."""
+
+    async def commit(
+        self,
+        shard: str,
+        epoch: int,
+        operations: Sequence[Operation],
+    ) -> Result[dict[str, int], Failure]:
+        """Apply the operations atomically while the epoch holds."""
+        ...
+
+
+class Parts(NamedTuple):
+    """Hold the modules that the life cycle of tasks relies on."""
+
+    store: TableStore
+    commits: Commits
+    client: WorkerClient
+    links: Links
+    slots: SlotCount
+    view: View
+    owner: Owner
+    invariants: Invariants
+    clock: Clock
+    log: EventLog
+    lease_ms: Millis
+
+    @property
+    def lease_bound_ms(self) -> Millis:
+        """Return the lease term with its margin for clock drift."""
+        return self.lease_ms + self.lease_ms // 10 + LEASE_MARGIN_MS
+
+
+class Job:
+    """Hold a job's specification and whether it was cancelled."""
+
+    def __init__(self, row: JobRow) -> None:
+        self.spec: JobSpec = row["spec"]
+        self.cancelled = row["cancelled"]
+        self.demand: Demand = demand_of(row["spec"])
+
+
+class Eviction(NamedTuple):
+    """Ask for the eviction of a task."""
+
+    why: str
+    reply: asyncio.Future[Result[None, Failure]]
+
+
+class Entry:
+    """Hold a task of an owned shard as last read from or written to the table."""
+
+    def __init__(
+        self,
+        job: Job,
+        row: TaskRow,
+        version: int,
+        queue_row: QueueRow,
+        queue_version: int,
+        now_ms: Millis,
+    ) -> None:
+        self.job = job
+        self.row = row
+        self.version = version
+        self.queue_row = queue_row
+        self.queue_version = queue_version
+        self.since_ms = now_ms
+        self.retry_ms: Millis = 0
+        self.busy = False
+        self.is_settled = self.state not in LIVE_STATES
+        self.witnessed_ms: Millis | None = None
+        self.report: RunReport | None = None
+        self.checkpoint: str | None = row["checkpoint"]
+        self.eviction: Eviction | None = None
+        self.pending_reasons: list[Reason] = []
+        self.waiting_text = ""
+        self.saved_for_leaving = False
+
+    @property
+    def task_id(self) -> str:
+        """Return ``<job>/<n>``."""
+        return f"{self.row['job']}/{self.row['n']}"
+
+    @property
+    def run_id(self) -> str:
+        """Return the id of the newest run."""
+        return run_id_of(self.task_id, self.row["run"])
+
+    @property
+    def state(self) -> TaskState:
+        """Return the recorded state."""
+        return TaskState(self.row["state"])
+
+    @property
+    def worker_id(self) -> str:
+        """Return the worker of the newest run, empty if there is none."""
+        return self.row["worker"]
+
+    @property
+    def order(self) -> tuple[bool, Millis, str, int]:
+        """Sort urgent tasks first, then the oldest."""
+        queue_row = self.queue_row
+        return (
+            not queue_row["urgent"],
+            queue_row["at_ms"],
+            self.row["job"],
+            self.row["n"],
+        )
+
+
+def job_key(job: str) -> str:
+    """Return the key of a job's row."""
+    return f"jobs/{job}"
+
+
+def task_key(job: str, number: int) -> str:
+    """Return the key of a task's row."""
+    return f"tasks/{job}/{number}"
+
+
+def queue_key(shard: str, job: str, number: int) -> str:
+    """Return the key of a task's queue row in a shard."""
+    return f"queue/{shard}/{job}/{number}"
+
+
+def as_value(row: TaskRow | JobRow | QueueRow) -> dict[str, Any]:
+    """Return a row as the table service takes it."""
+    return cast(dict[str, Any], dict(row))
+
+
+def first_row(job: str, number: int, shard: str, reason: Reason) -> TaskRow:
+    """Return the row of a task that was just accepted."""
+    return {
+        "job": job,
+        "n": number,
+        "state": TaskState.QUEUED.value,
+        "shard": shard,
+        "run": 0,
+        "worker": "",
+        "incarnation": "",
+        "epoch": 0,
+        "checkpoint": None,
+        "evictions": 0,
+        "failed_on": [],
+        "reasons": [reason],
+    }
+
+
+def with_reasons(row: TaskRow, reasons: Sequence[Reason]) -> TaskRow:
+    """Return the row with further reasons, the newest ``MOST_REASONS`` kept."""
+    kept = [*row["reasons"], *reasons][-MOST_REASONS:]
+    return cast(TaskRow, {**row, "reasons": kept})
+
+
+async def read_job(store: TableStore, job: str) -> Result[Job | None, Failure]:
+    """Read a job's row, None if it does not exist."""
+    reply = await store.read(job_key(job))
+    if isinstance(reply, Err):
+        return reply
+    row = reply.ok_value
+    return Ok(None if row is None else Job(cast(JobRow, row.value)))
--- /dev/null
+++ b/hyssopweir/tasks.py
@@ -0,0 +1,119 @@
+"""Life cycle of the tasks of all shards that this instance owns."""
+
+import asyncio
+
+from mode import Service
+from result import Err, Result
+
+from hyssopweir.codes import Code, Failure, not_run
+from hyssopweir.fleet import Worker
+from hyssopweir.peers import Params, PeerNetwork
+from hyssopweir.placed import Placed
+from hyssopweir.task_queue import FreeSlots, QuotaOf
+from hyssopweir.task_rows import Parts
+from hyssopweir.task_shards import ShardTasks
+from hyssopweir.worker_client import Inventory
+
+
+class TaskKeeper(Service):
+    """Run one loop for the tasks of each owned shard."""
+
+    def __init__(
+        self,
+        parts: Parts,
+        peers: PeerNetwork,
+        free_slots: FreeSlots,
+        quota_of: QuotaOf,
+    ) -> None:
+        super().__init__()
+        self._parts = parts
+        self._peers = peers
+        self._free_slots = free_slots
+        self._quota_of = quota_of
+        self._placed = Placed()
+        self._shards: dict[str, ShardTasks] = {}
+        self._loops: dict[str, asyncio.Future[None]] = {}
+        peers.on_note("queue_changed", self._on_queue_changed)
+        peers.on_note("job_cancelled", self._on_job_cancelled)
+
+    def shard_gained(self, shard: str, epoch: int) -> None:
+        """Take the tasks of a shard over."""
+        self.shard_lost(shard)
+        tasks = ShardTasks(
+            self._parts,
+            shard,
+            epoch,
+            self._placed,
+            self._free_slots,
+            self._quota_of,
+            self._announce,
+        )
+        self._shards[shard] = tasks
+        self._loops[shard] = asyncio.ensure_future(tasks.run())
+
+    def shard_lost(self, shard: str) -> None:
+        """Leave the tasks of a shard to its next owner."""
+        tasks = self._shards.pop(shard, None)
+        loop = self._loops.pop(shard, None)
+        if tasks is not None and loop is not None:
+            loop.cancel()
+            tasks.close()
+
+    def wake(self, shard: str) -> None:
+        """Read the queue of a shard again."""
+        if shard in self._shards:
+            self._shards[shard].recheck()
+
+    def job_cancelled(self, job: str) -> None:
+        """End the tasks of a cancelled job in the owned shards."""
+        for tasks in self._shards.values():
+            tasks.job_cancelled(job)
+
+    def take_inventory(self, worker: Worker, inventory: Inventory) -> None:
+        """Note what a worker reports, for ``WorkerLinks.on_inventory``."""
+        if worker.shard in self._shards:
+            self._shards[worker.shard].take_inventory(worker, inventory)
+
+    def worker_restarted(self, worker: Worker) -> None:
+        """Decide again, for ``WorkerLinks.on_restarted``."""
+        if worker.shard in self._shards:
+            self._shards[worker.shard].signal()
+
+    def slot_freed(self, worker_id: str) -> None:
+        """Place queued tasks, for ``SlotLedger.on_free``."""
+        worker = self._parts.view.worker(worker_id)
+        if worker is not None and worker.shard in self._shards:
+            self._shards[worker.shard].signal()
+
+    async def evict(self, task_id: str, reason: str) -> Result[None, Failure]:
+        """Save and stop a running task and queue it again.
+
+        ``Ok`` means that the end of the run is confirmed. Failures: ``NOT_OWNER``,
+        ``NOT_FOUND`` if the task is not running, ``STORE_UNAVAILABLE`` if nothing was
+        changed, ``WORKER_UNREACHABLE`` if the eviction is recorded and goes on.
+        """
+        for tasks in self._shards.values():
+            entry = tasks.records.entries.get(task_id)
+            if entry is not None:
+                return await asyncio.shield(tasks.evict(entry, reason))
+        detail = f"no shard of this instance holds {task_id}"
+        return Err(not_run(Code.NOT_OWNER, detail))
+
+    async def on_stop(self) -> None:
+        """Stop deciding; the tasks go on at their workers."""
+        for shard in list(self._shards):
+            self.shard_lost(shard)
+
+    def _announce(self, shard: str) -> None:
+        self.wake(shard)
+        self._peers.broadcast("queue_changed", {"shards": [shard]})
+
+    def _on_queue_changed(self, sender: str, params: Params) -> None:
+        shards = params.get("shards")
+        for shard in shards if isinstance(shards, list) else []:
+            self.wake(str(shard))
+
+    def _on_job_cancelled(self, sender: str, params: Params) -> None:
+        job = params.get("job")
+        if isinstance(job, str):
+            self.job_cancelled(job)
--- a/hyssopweir/worker_client.py
+++ b/hyssopweir/worker_client.py
@@ -93,6 +93,10 @@
     be opened, else ``UNKNOWN``. ``WORKER_JUNK`` is a reply that can't be read.
     """
 
+    def release(self, worker: Worker) -> None:
+        """Close the idle connections to a worker that is not owned any more."""
+        ...
+
     async def claim(self, worker: Worker, epoch: int) -> Result[Inventory, Failure]:
         """Refuse lower epochs from now on; return the inventory at that moment."""
         ...
--- /dev/null
+++ b/hyssopweir/worker_http.py
@@ -0,0 +1,439 @@
+"""HTTP adapter of a worker, and the JSON form of its messages.
+
+Bodies of requests and answers travel in base64, so that one form of a run serves
+``execute``, ``lookup``, ``claim`` and ``watch``.
+"""
+
+import asyncio
+import base64
+from collections.abc import Callable, Sequence
+from typing import Any, TypeVar
+
+import aiohttp
+from result import Err, Ok, Result
+
+from hyssopweir.clock import Millis
+from hyssopweir.codes import Code, Failure, Outcome, not_run, unknown
+from hyssopweir.fleet import Worker
+from hyssopweir.platform_client import (
+    BAD_REQUEST,
+    CONFLICT,
+    OK_STATUS,
+    Breakdown,
+    ExchangeError,
+    Reply,
+    exchange,
+    field,
+    from_json,
+    new_session,
+    to_json,
+)
+from hyssopweir.worker_client import (
+    Fence,
+    Inventory,
+    RequestRun,
+    RunReport,
+    RunState,
+    TaskRun,
+)
+
+T = TypeVar("T")
+
+CALL_TIMEOUT_MS: Millis = 1_000
+MOST_ANSWER_BYTES = 4 * 1_048_576
+# Base64 makes 4 bytes out of 3; the rest of a report takes less than 64 KiB.
+MOST_REPORT_BYTES = MOST_ANSWER_BYTES * 4 // 3 + 65_536
+
+REFUSALS = frozenset(
+    {
+        Code.STALE_EPOCH,
+        Code.STALE_INCARNATION,
+        Code.WORKER_FULL,
+        Code.WORKER_LEAVING,
+        Code.WORKER_REFUSED,
+    }
+)
+
+
+class AnswerTooLargeError(Exception):
+    """Report that an answer exceeds ``MOST_ANSWER_BYTES``."""
+
+
+class Pool:
+    """Hold the connections to one worker, each in a session of its own.
+
+    aiohttp can't close the idle connections of a session without the busy ones.
+    """
+
+    def __init__(self, connections: int) -> None:
+        self.free = asyncio.Semaphore(connections)
+        self.idle: list[aiohttp.ClientSession] = []
+        self.busy = 0
+        self.keep = True
+
+
+class HttpWorkerClient:
+    """Implement ``WorkerClient`` over HTTP and JSON.
+
+    It is no ``mode`` service because ``stop`` is a call to a worker.
+    """
+
+    def __init__(
+        self,
+        connections_per_worker: int,
+        call_timeout_ms: Millis = CALL_TIMEOUT_MS,
+    ) -> None:
+        self._connections = connections_per_worker
+        self._call_timeout_ms = call_timeout_ms
+        self._pools: dict[tuple[str, int], Pool] = {}
+        self._closing: set[asyncio.Task[None]] = set()
+
+    async def close(self) -> None:
+        """Close all connections; those in use as soon as their call ends."""
+        for address in list(self._pools):
+            self._release(address)
+        await asyncio.gather(*self._closing)
+
+    def release(self, worker: Worker) -> None:
+        """Close the idle connections to a worker now, the busy ones after use."""
+        self._release((worker.host, worker.port))
+
+    async def claim(self, worker: Worker, epoch: int) -> Result[Inventory, Failure]:
+        """Refuse lower epochs from now on; return the inventory at that moment."""
+        return await self._call(worker, "claim", {"epoch": epoch}, inventory_from_dict)
+
+    async def execute(
+        self,
+        worker: Worker,
+        fence: Fence,
+        run: RequestRun,
+    ) -> Result[RunReport, Failure]:
+        """Run a request and return its ended run, ``DONE`` or ``FAILED``."""
+        return await self._call(
+            worker,
+            "execute",
+            {"fence": fence._asdict(), "run": request_run_to_dict(run)},
+            lambda data: _ended_request(data, run),
+            timeout_ms=max(run.deadline_ms, 1),
+            limit=MOST_REPORT_BYTES,
+        )
+
+    async def start(
+        self,
+        worker: Worker,
+        fence: Fence,
+        run: TaskRun,
+        lease_until_ms: Millis,
+    ) -> Result[None, Failure]:
+        """Start a run of a task under a lease that ends on the worker's clock."""
+        params = {
+            "fence": fence._asdict(),
+            "run": run._asdict(),
+            "lease_until_ms": lease_until_ms,
+        }
+        return await self._call(worker, "start", params, _nothing)
+
+    async def watch(
+        self,
+        worker: Worker,
+        fence: Fence,
+        revision: int,
+        wait_ms: Millis,
+        lease_until_ms: Millis,
+    ) -> Result[Inventory, Failure]:
+        """Renew the leases of all tasks; return once the revision differs."""
+        return await self._call(
+            worker,
+            "watch",
+            {
+                "fence": fence._asdict(),
+                "revision": revision,
+                "wait_ms": wait_ms,
+                "lease_until_ms": lease_until_ms,
+            },
+            inventory_from_dict,
+            timeout_ms=wait_ms + self._call_timeout_ms,
+        )
+
+    async def checkpoint(
+        self,
+        worker: Worker,
+        fence: Fence,
+        run_id: str,
+    ) -> Result[RunReport, Failure]:
+        """Write a checkpoint of a running task."""
+        return await self._act(worker, "checkpoint", fence, run_id)
+
+    async def throttle(
+        self,
+        worker: Worker,
+        fence: Fence,
+        run_id: str,
+        share: float,
+    ) -> Result[RunReport, Failure]:
+        """Limit a running task to a share (0 to 1) of its processors."""
+        return await self._act(worker, "throttle", fence, run_id, share=share)
+
+    async def stop(
+        self,
+        worker: Worker,
+        fence: Fence,
+        run_id: str,
+    ) -> Result[RunReport, Failure]:
+        """End a run and confirm its end; the report of a run that ended before."""
+        return await self._act(worker, "stop", fence, run_id)
+
+    async def lookup(
+        self,
+        worker: Worker,
+        fence: Fence,
+        run_id: str,
+    ) -> Result[RunReport, Failure]:
+        """Return the state of a run; one that was never seen can't start any more."""
+        return await self._act(worker, "lookup", fence, run_id)
+
+    async def acknowledge(
+        self,
+        worker: Worker,
+        fence: Fence,
+        run_ids: Sequence[str],
+    ) -> Result[None, Failure]:
+        """Let the worker forget ended runs whose end is recorded."""
+        params = {"fence": fence._asdict(), "run_ids": list(run_ids)}
+        return await self._call(worker, "acknowledge", params, _nothing)
+
+    async def _act(
+        self,
+        worker: Worker,
+        method: str,
+        fence: Fence,
+        run_id: str,
+        **params: Any,
+    ) -> Result[RunReport, Failure]:
+        return await self._call(
+            worker,
+            method,
+            {"fence": fence._asdict(), "run_id": run_id, **params},
+            lambda data: _report_of(data, run_id),
+            limit=MOST_REPORT_BYTES,
+        )
+
+    async def _call(
+        self,
+        worker: Worker,
+        method: str,
+        params: dict[str, Any],
+        parse: Callable[[Any], T],
+        timeout_ms: Millis | None = None,
+        limit: int = 0,
+    ) -> Result[T, Failure]:
+        """Call a worker; ``limit`` is set if the reply carries an answer."""
+        body = to_json(params)
+        if isinstance(body, Err):
+            return Err(not_run(Code.BAD_REQUEST, body.err_value))
+        sent = await self._exchange(
+            worker,
+            f"/v1/{method}",
+            body.ok_value,
+            timeout_ms if timeout_ms is not None else self._call_timeout_ms,
+            limit or MOST_REPORT_BYTES,
+        )
+        if isinstance(sent, Err):
+            return Err(_failure_of(sent.err_value, carries_answer=limit > 0))
+        try:
+            return _read_reply(sent.ok_value, parse)
+        except AnswerTooLargeError:
+            return Err(_too_large())
+        except ValueError as exc:
+            return Err(unknown(Code.WORKER_JUNK, f"unreadable reply: {exc}"))
+
+    async def _exchange(
+        self,
+        worker: Worker,
+        path: str,
+        body: bytes,
+        timeout_ms: Millis,
+        limit: int,
+    ) -> Result[Reply, ExchangeError]:
+        address = (worker.host, worker.port)
+        pool = self._pools.setdefault(address, Pool(self._connections))
+        pool.keep = True
+        pool.busy += 1
+        try:
+            loop = asyncio.get_running_loop()
+            end_s = loop.time() + timeout_ms / 1_000
+            async with asyncio.timeout_at(end_s):
+                await pool.free.acquire()
+        except TimeoutError:
+            detail = "all connections to the worker are in use"
+            return Err(ExchangeError(Breakdown.NOT_CONNECTED, detail))
+        else:
+            session = pool.idle.pop() if pool.idle else new_session(connections=1)
+            left_ms = max(int((end_s - loop.time()) * 1_000), 1)
+            try:
+                return await exchange(
+                    session, "POST", address, path, left_ms, body, limit=limit
+                )
+            finally:
+                pool.idle.append(session)
+                pool.free.release()
+        finally:
+            pool.busy -= 1
+            if not pool.keep:
+                self._release(address)
+
+    def _release(self, address: tuple[str, int]) -> None:
+        pool = self._pools.get(address)
+        if pool is None:
+            return
+        pool.keep = False
+        for session in pool.idle:
+            closing = asyncio.create_task(session.close())
+            self._closing.add(closing)
+            closing.add_done_callback(self._closing.discard)
+        pool.idle.clear()
+        if not pool.busy:
+            del self._pools[address]
+
+
+def request_run_to_dict(run: RequestRun) -> dict[str, Any]:
+    """Return the JSON form of the run of a request."""
+    return {**run._asdict(), "body": _encode(run.body)}
+
+
+def request_run_from_dict(data: Any) -> RequestRun:
+    """Return the run of a request; raise ``ValueError`` on bad input."""
+    return RequestRun(
+        field(data, "run_id", str),
+        field(data, "request_id", str),
+        field(data, "service", str),
+        _decode(field(data, "body", str)),
+        field(data, "deadline_ms", int),
+    )
+
+
+def task_run_from_dict(data: Any) -> TaskRun:
+    """Return the run of a task; raise ``ValueError`` on bad input."""
+    return TaskRun(
+        field(data, "run_id", str),
+        field(data, "kind", str),
+        field(data, "run_ms", int),
+        float(field(data, "cores", int, float)),
+        float(field(data, "memory_gb", int, float)),
+        field(data, "accelerators", int),
+        field(data, "payload", dict),
+        field(data, "checkpoint", str, type(None)),
+    )
+
+
+def fence_from_dict(data: Any) -> Fence:
+    """Return a fence; raise ``ValueError`` on bad input."""
+    return Fence(field(data, "epoch", int), field(data, "incarnation", str))
+
+
+def report_to_dict(report: RunReport) -> dict[str, Any]:
+    """Return the JSON form of a report."""
+    answer = None if report.answer is None else _encode(report.answer)
+    return {**report._asdict(), "state": report.state.value, "answer": answer}
+
+
+def report_from_dict(data: Any) -> RunReport:
+    """Return a report; raise ``ValueError`` on bad input."""
+    answer = field(data, "answer", str, type(None))
+    progress = float(field(data, "progress", int, float))
+    if not 0.0 <= progress <= 1.0:
+        raise ValueError("progress is out of range")
+    return RunReport(
+        field(data, "run_id", str),
+        RunState(field(data, "state", str)),
+        field(data, "is_task", bool),
+        None if answer is None else _decode(answer),
+        field(data, "request_id", str),
+        field(data, "checkpoint", str, type(None)),
+        progress,
+        field(data, "error", str),
+    )
+
+
+def inventory_to_dict(inventory: Inventory) -> dict[str, Any]:
+    """Return the JSON form of an inventory."""
+    runs = [report_to_dict(report) for report in inventory.runs]
+    return {**inventory._asdict(), "runs": runs}
+
+
+def inventory_from_dict(data: Any) -> Inventory:
+    """Return an inventory; raise ``ValueError`` on bad input."""
+    runs = tuple(report_from_dict(run) for run in field(data, "runs", list))
+    if len({run.run_id for run in runs}) < len(runs):
+        raise ValueError("a run is listed twice")
+    incarnation = field(data, "incarnation", str)
+    if not incarnation:
+        raise ValueError("incarnation is empty")
+    return Inventory(
+        incarnation,
+        field(data, "revision", int),
+        field(data, "clock_ms", int),
+        field(data, "leaving", bool),
+        runs,
+    )
+
+
+def _encode(body: bytes) -> str:
+    return base64.b64encode(body).decode("ascii")
+
+
+def _decode(text: str) -> bytes:
+    return base64.b64decode(text, validate=True)
+
+
+def _nothing(data: Any) -> None:
+    if data != {}:
+        raise ValueError("an empty object was expected")
+
+
+def _report_of(data: Any, run_id: str) -> RunReport:
+    report = report_from_dict(data)
+    if report.run_id != run_id:
+        raise ValueError("a report on another run")
+    if len(report.answer or b"") > MOST_ANSWER_BYTES:
+        raise AnswerTooLargeError
+    return report
+
+
+def _ended_request(data: Any, run: RequestRun) -> RunReport:
+    report = _report_of(data, run.run_id)
+    if report.request_id != run.request_id or report.is_task:
+        raise ValueError("a report on another request")
+    if report.state not in (RunState.DONE, RunState.FAILED):
+        raise ValueError(f"the run is {report.state.value}")
+    if report.state is RunState.DONE and report.answer is None:
+        raise ValueError("the answer is missing")
+    return report
+
+
+def _read_reply(reply: Reply, parse: Callable[[Any], T]) -> Result[T, Failure]:
+    if reply.status not in (OK_STATUS, BAD_REQUEST, CONFLICT):
+        raise ValueError(f"the worker answered {reply.status}")
+    data = from_json(reply.body)
+    if reply.status == OK_STATUS:
+        return Ok(parse(data))
+    refusal = Code.__members__.get(field(data, "refusal", str))
+    if refusal not in REFUSALS:
+        raise ValueError("a refusal without a known reason")
+    return Err(not_run(refusal, field(data, "detail", str)))
+
+
+def _failure_of(error: ExchangeError, carries_answer: bool) -> Failure:
+    if error.kind is Breakdown.NOT_CONNECTED:
+        return not_run(Code.WORKER_UNREACHABLE, str(error))
+    if error.kind is Breakdown.NO_ANSWER:
+        return unknown(Code.WORKER_UNREACHABLE, str(error))
+    too_large = error.kind is Breakdown.TOO_LARGE
+    if too_large and carries_answer and error.status == OK_STATUS:
+        return _too_large()
+    return unknown(Code.WORKER_JUNK, str(error))
+
+
+def _too_large() -> Failure:
+    detail = f"the answer exceeds {MOST_ANSWER_BYTES} bytes"
+    return Failure(Code.BODY_TOO_LARGE, detail, Outcome.RAN)
--- /dev/null
+++ b/hyssopweir/worker_links.py
@@ -0,0 +1,280 @@
+"""Links to the workers of the owned shards: claim, watch and lease renewal."""
+
+import asyncio
+from collections.abc import Callable
+from typing import Protocol
+
+from mode import Service
+from result import Err, Result
+
+from hyssopweir.clock import Clock, Millis
+from hyssopweir.codes import Code, Failure
+from hyssopweir.events import Event, EventLog
+from hyssopweir.fleet import Worker
+from hyssopweir.loops import run_forever, run_guarded
+from hyssopweir.retries import Backoff
+from hyssopweir.settings import Timing
+from hyssopweir.slots import SlotLedger
+from hyssopweir.worker_client import Fence, Inventory, WorkerClient
+
+RETRY_BASE_MS: Millis = 50
+RETRY_CAP_MS: Millis = 2_000
+# No worker reports this revision, so a watch that carries it returns at once.
+NO_REVISION = -1
+
+InventoryHandler = Callable[[Worker, Inventory], None]
+RestartHandler = Callable[[Worker], None]
+
+
+class FleetWorkers(Protocol):
+    """Name the part of the fleet view that the links use."""
+
+    def workers_of(self, shard: str) -> list[Worker]:
+        """Return the listed workers of a shard."""
+        ...
+
+
+class EpochHolder(Protocol):
+    """Name the part of shard ownership that the links use."""
+
+    def lost(self, shard: str, epoch: int) -> None:
+        """Note that a worker or the table service refused the epoch."""
+        ...
+
+
+class _Link:
+    """Hold what is known of one worker."""
+
+    def __init__(self, worker: Worker, epoch: int) -> None:
+        self.worker = worker
+        self.epoch = epoch
+        self.fence: Fence | None = None
+        self.incarnation = ""
+        self.revision = NO_REVISION
+        self.clock_ms: Millis = 0
+        self.read_at_ms: Millis = 0
+        self.leaving = False
+        self.reachable = True
+        self.task: asyncio.Task[None] | None = None
+
+
+class WorkerLinks(Service):
+    """Keep a claim on each worker of the owned shards and renew its leases.
+
+    The calls of one worker are made in sequence, so its inventories arrive in order.
+    """
+
+    def __init__(
+        self,
+        fleet: FleetWorkers,
+        client: WorkerClient,
+        ledger: SlotLedger,
+        ownership: EpochHolder,
+        timing: Timing,
+        clock: Clock,
+        log: EventLog,
+    ) -> None:
+        super().__init__()
+        self._fleet = fleet
+        self._client = client
+        self._ledger = ledger
+        self._ownership = ownership
+        self._timing = timing
+        self._clock = clock
+        self._events = log
+        self._links: dict[str, _Link] = {}
+        self._epochs: dict[str, int] = {}
+        self._held_since_ms: dict[str, Millis] = {}
+        self._lease_sent_ms: dict[str, Millis] = {}
+        self._inventory_handlers: list[InventoryHandler] = []
+        self._restart_handlers: list[RestartHandler] = []
+
+    def fence_of(self, worker_id: str) -> Fence | None:
+        """Return the fence of a worker, None until it is claimed."""
+        link = self._links.get(worker_id)
+        return link.fence if link is not None else None
+
+    def is_leaving(self, worker_id: str) -> bool:
+        """Tell whether the worker itself has said that it is leaving."""
+        link = self._links.get(worker_id)
+        return link is not None and link.leaving
+
+    def note_leaving(self, worker_id: str) -> None:
+        """Note that the worker refused work because it is leaving."""
+        link = self._links.get(worker_id)
+        if link is not None:
+            link.leaving = True
+
+    def lease_until_ms(self, worker_id: str) -> Millis | None:
+        """Return the end of a new lease on the worker's clock, None until claimed.
+
+        The worker read its clock before its reply was received, so the lease ends no
+        later than the term from now on the local clock, but for clock drift.
+        """
+        link = self._links.get(worker_id)
+        if link is None or link.fence is None:
+            return None
+        now_ms = self._clock.now_ms()
+        term_ms = self._timing["lease_ms"]
+        self._lease_sent_ms[worker_id] = now_ms + term_ms
+        return link.clock_ms + (now_ms - link.read_at_ms) + term_ms
+
+    def lease_sent_until_ms(self, worker_id: str) -> Millis:
+        """Return the last lease end handed out, on the local clock, 0 if none was."""
+        return self._lease_sent_ms.get(worker_id, 0)
+
+    def held_since_ms(self, shard: str) -> Millis | None:
+        """Return since when the shard has been held without a break."""
+        return self._held_since_ms.get(shard)
+
+    def on_inventory(self, handler: InventoryHandler) -> None:
+        """Call ``handler`` with each inventory, after the slots are counted."""
+        self._inventory_handlers.append(handler)
+
+    def on_restarted(self, handler: RestartHandler) -> None:
+        """Call ``handler`` when a worker has lost its runs by a restart."""
+        self._restart_handlers.append(handler)
+
+    def shard_gained(self, shard: str, epoch: int) -> None:
+        """Claim the workers of a shard; a new epoch claims them again."""
+        if self._epochs.get(shard) == epoch:
+            return
+        self.shard_lost(shard)
+        self._epochs[shard] = epoch
+        self._held_since_ms[shard] = self._clock.now_ms()
+        self._follow_fleet(shard)
+
+    def shard_lost(self, shard: str) -> None:
+        """Drop the links to the workers of a shard."""
+        self._epochs.pop(shard, None)
+        self._held_since_ms.pop(shard, None)
+        for link in list(self._links.values()):
+            if link.worker.shard == shard:
+                self._drop(link)
+                self._lease_sent_ms.pop(link.worker.worker_id, None)
+
+    async def on_stop(self) -> None:
+        """End all links; the ledger keeps its counts."""
+        for link in self._links.values():
+            if link.task is not None:
+                link.task.cancel()
+
+    @Service.task
+    async def _follow_fleet_forever(self) -> None:
+        await run_forever(
+            self,
+            self._timing["scan_ms"],
+            self.refresh,
+            self._clock,
+            self._events,
+        )
+
+    async def refresh(self) -> None:
+        """Open links to new workers and drop those of workers that are gone."""
+        for shard in list(self._epochs):
+            self._follow_fleet(shard)
+
+    def _follow_fleet(self, shard: str) -> None:
+        listed = {worker.worker_id: worker for worker in self._fleet.workers_of(shard)}
+        for link in list(self._links.values()):
+            known = link.worker
+            if known.shard == shard and listed.get(known.worker_id) != known:
+                self._drop(link)
+        for worker_id, worker in listed.items():
+            if worker_id not in self._links:
+                self._open(worker, self._epochs[shard])
+
+    def _open(self, worker: Worker, epoch: int) -> None:
+        link = _Link(worker, epoch)
+        self._links[worker.worker_id] = link
+        self._ledger.open_worker(worker)
+        link.task = asyncio.create_task(self._keep(link))
+
+    def _drop(self, link: _Link) -> None:
+        worker_id = link.worker.worker_id
+        if link.task is not None:
+            link.task.cancel()
+        del self._links[worker_id]
+        self._ledger.close_worker(worker_id)
+
+    async def _keep(self, link: _Link) -> None:
+        """Claim and watch one worker for ever."""
+        backoff = Backoff(RETRY_BASE_MS, RETRY_CAP_MS)
+
+        async def claim_and_watch() -> None:
+            failure = await self._claim_and_watch(link, backoff)
+            self._note_failure(link, failure)
+
+        while True:
+            if not await run_guarded(claim_and_watch, self.label, self._events):
+                self._ledger.forget(link.worker.worker_id)
+            await self._clock.sleep_ms(backoff.next_ms())
+
+    async def _claim_and_watch(self, link: _Link, backoff: Backoff) -> Failure:
+        if link.fence is None:
+            claimed = await self._client.claim(link.worker, link.epoch)
+            if isinstance(claimed, Err):
+                return claimed.err_value
+            self._note_claim(link, claimed.ok_value)
+        while True:
+            watched = await self._watch(link)
+            if isinstance(watched, Err):
+                return watched.err_value
+            backoff.reset()
+            self._note_inventory(link, watched.ok_value)
+
+    async def _watch(self, link: _Link) -> Result[Inventory, Failure]:
+        fence = link.fence
+        lease_until_ms = self.lease_until_ms(link.worker.worker_id)
+        assert fence is not None
+        assert lease_until_ms is not None
+        return await self._client.watch(
+            link.worker,
+            fence,
+            link.revision,
+            self._timing["watch_ms"],
+            lease_until_ms,
+        )
+
+    def _note_claim(self, link: _Link, inventory: Inventory) -> None:
+        worker = link.worker
+        self._events.emit(
+            Event.WORKER_CLAIMED,
+            worker=worker.worker_id,
+            epoch=link.epoch,
+            runs=len(inventory.runs),
+        )
+        restarted = link.incarnation not in ("", inventory.incarnation)
+        link.incarnation = inventory.incarnation
+        link.fence = Fence(link.epoch, inventory.incarnation)
+        if restarted:
+            link.leaving = False
+            self._events.emit(Event.WORKER_RESTARTED, worker=worker.worker_id)
+            for handler in self._restart_handlers:
+                handler(worker)
+        self._note_inventory(link, inventory)
+
+    def _note_inventory(self, link: _Link, inventory: Inventory) -> None:
+        link.clock_ms = inventory.clock_ms
+        link.read_at_ms = self._clock.now_ms()
+        link.revision = inventory.revision
+        link.reachable = True
+        link.leaving = link.leaving or inventory.leaving
+        self._ledger.confirm(link.worker.worker_id, inventory.runs)
+        for handler in self._inventory_handlers:
+            handler(link.worker, inventory)
+
+    def _note_failure(self, link: _Link, failure: Failure) -> None:
+        """Count the worker as full, and react to the worker's refusal."""
+        worker = link.worker
+        self._ledger.forget(worker.worker_id)
+        link.revision = NO_REVISION
+        if failure.code is Code.STALE_INCARNATION:
+            link.fence = None
+        elif failure.code is Code.STALE_EPOCH:
+            self._ownership.lost(worker.shard, link.epoch)
+        elif link.reachable:
+            link.reachable = False
+            junk = failure.code is Code.WORKER_JUNK
+            event = Event.WORKER_REPLY_INVALID if junk else Event.WORKER_UNREACHABLE
+            self._events.emit(event, worker=worker.worker_id, error=str(failure))
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -142,6 +142,9 @@
         self.late_calls: set[asyncio.Task[Any]] = set()
         self._clock = clock
 
+    def release(self, worker: Worker) -> None:
+        return
+
     async def claim(self, worker: Worker, epoch: int) -> Result[Inventory, Failure]:
         return await self._call(worker, lambda target: target.claim(epoch))
 
