Test the whole path over separate processes under four faults

Each run starts the platform, the workers and three entry instances as processes, then kills, freezes past its session, or stops one instance, or freezes the platform for 3 s, while callers and a batch job go on.

Found by the test: a job submitted right after the start was refused with NO_CAPACITY. Cause: the free slots by shard were cached from a ranking made before the instance list had been read, and a shard without a reachable owner was left out. Ruled out: missing load notes (the owners sent them). Jobs are now accepted for every known shard, and an instance is ready only when it knows the workers.

--- /dev/null
+++ b/hyssopweir/__main__.py
@@ -0,0 +1,5 @@
+"""Run the command line with ``python -m hyssopweir``."""
+
+from hyssopweir.cli import main
+
+main(prog_name="hyssopweir")
--- a/hyssopweir/dispatch.py
+++ b/hyssopweir/dispatch.py
@@ -317,10 +317,8 @@
         if not self._admission.is_open(worker_id):
             return not_run(Code.WORKER_LEAVING, "the worker is leaving")
         try:
-            self._invariants.work_given(
-                worker_id,
-                self._fleet.leaving_since_ms(worker_id),
-            )
+            leaving_since_ms = self._fleet.leaving_since_ms(worker_id)
+            self._invariants.work_given(worker_id, leaving_since_ms)
             self._invariants.request_dispatched(req.request_id)
             if req.key is not None:
                 self._invariants.key_dispatched(req.caller, req.key, work.attempt)
--- a/hyssopweir/instance.py
+++ b/hyssopweir/instance.py
@@ -219,12 +219,20 @@
         ]
 
     def free_task_slots(self) -> dict[str, int]:
-        """Return an estimate of the slots that tasks may use in each shard."""
+        """Return an estimate of the slots that tasks may use in each shard.
+
+        A shard whose owner can't be reached counts as full; its queue is kept in the
+        table service.
+        """
         reserve = self.cfg["limits"]["latency_reserve_slots"]
+        free_by_shard = self.router.free_by_shard()
         return {
-            shard: max(free - reserve * len(self.fleet.workers_of(shard)), 0)
-            for shard, free in self.router.free_by_shard().items()
-            if self.ownership.owner_of(shard) is not None
+            shard: max(
+                free_by_shard.get(shard, 0)
+                - reserve * len(self.fleet.workers_of(shard)),
+                0,
+            )
+            for shard in self.fleet.shards()
         }
 
     def quota_of(self, team: str) -> int | None:
@@ -353,7 +361,7 @@
             await parts.configuration.refresh()
             await parts.membership.refresh()
             await parts.ownership.refresh()
-        if parts.configuration.version > 0:
+        if parts.configuration.version > 0 and parts.fleet.shards():
             parts.readiness.configured()
         parts.readiness.tick()
         parts.membership.set_ready(parts.readiness.not_ready() is None)
--- a/hyssopweir/readiness.py
+++ b/hyssopweir/readiness.py
@@ -39,7 +39,7 @@
         if not self._configured:
             return not_run(
                 Code.NOT_READY,
-                "this instance has not read the current configuration yet",
+                "this instance has not read the configuration and the workers yet",
             )
         if self.paused_ms() > LONGEST_PAUSE_MS:
             return not_run(
@@ -58,7 +58,7 @@
         self._announce()
 
     def configured(self) -> None:
-        """Note that a current configuration is in force."""
+        """Note that a current configuration is in force and the workers are known."""
         self._configured = True
         self._announce()
 
--- a/hyssopweir/routing.py
+++ b/hyssopweir/routing.py
@@ -106,8 +106,7 @@
         slots the first is drawn by the number of free slots, because instances that
         all chose the largest number would overload one shard between announcements.
         """
-        if self._ranked_at_ms is None or now_ms - self._ranked_at_ms >= RANKING_MS:
-            self._rank(now_ms)
+        self._rank_if_due(now_ms)
         reachable = [
             candidate
             for candidate in self._ranking
@@ -129,15 +128,18 @@
                 self._loads[shard] = noted
 
     def free_by_shard(self) -> dict[str, int]:
-        """Return the free slots of each shard whose owner can be reached."""
-        if self._ranked_at_ms is None:
-            self._rank(self._clock.now_ms())
-        return {shard: load.free for shard, load in self._loads.items()}
+        """Return the free slots of the ranked shards; their owners can be reached."""
+        self._rank_if_due(self._clock.now_ms())
+        return {candidate.shard: candidate.free for candidate in self._ranking}
 
     def changed(self) -> None:
         """Rank the shards again at the next request, after an owner was lost."""
         self._ranked_at_ms = None
 
+    def _rank_if_due(self, now_ms: Millis) -> None:
+        if self._ranked_at_ms is None or now_ms - self._ranked_at_ms >= RANKING_MS:
+            self._rank(now_ms)
+
     def _rank(self, now_ms: Millis) -> None:
         own = self._membership.session
         self.note_load(own, self._own_load())
--- /dev/null
+++ b/tests/test_processes.py
@@ -0,0 +1,144 @@
+"""The whole path over separate processes, with processes killed, frozen and stopped."""
+
+import json
+import signal
+import threading
+import time
+from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
+from pathlib import Path
+
+import pytest
+
+from tests.processes import (
+    DATA_CENTRES,
+    Reply,
+    System,
+    http,
+    running_system,
+    wait_until,
+)
+
+INTENT = {
+    "services": {
+        "price-check": {"idempotent": True},
+        "banquet-offer": {"idempotent": False},
+    }
+}
+
+
+def confirm_intent(system: System) -> None:
+    plan = http("POST", system.url("kista", "/v1/plans"), json.dumps(INTENT).encode())
+    path = f"/v1/plans/{plan.json()['id']}/confirm"
+    version = http("POST", system.url("arlanda", path)).json()["result"]["version"]
+    for name in DATA_CENTRES:
+        url = system.url(name, "/v1/configuration")
+        wait_until(
+            lambda url=url: http("GET", url).json()["version"] >= version,
+            f"version {version} in force at {name}",
+        )
+
+
+def check_price(system: System, name: str, number: int) -> Reply:
+    body = b"price of dish %d" % number
+    reply = http("POST", system.url(name, "/v1/requests/price-check"), body)
+    if reply.status == 200:
+        assert reply.body == b"price-check answers " + body
+    return reply
+
+
+def offer_banquet(system: System, name: str, key: str) -> Reply:
+    url = system.url(name, "/v1/requests/banquet-offer")
+    headers = {"Idempotency-Key": key, "X-Caller": "planner", "X-Deadline-Ms": "12000"}
+    return http("POST", url, b"offer " + key.encode(), headers)
+
+
+def submit(system: System, job: str, tasks: int, run_ms: int) -> None:
+    spec = {
+        "job": job,
+        "team": "buyers",
+        "kind": "price-watch",
+        "tasks": tasks,
+        "run_ms": run_ms,
+        "cores": 1,
+        "memory_gb": 1,
+    }
+    reply = http("POST", system.url("huddinge", "/v1/jobs"), json.dumps(spec).encode())
+    assert reply.status == 202, reply.body
+
+
+def wait_done(system: System, name: str, job: str) -> None:
+    url = system.url(name, f"/v1/jobs/{job}")
+    wait_until(lambda: http("GET", url).json()["state"] == "done", f"{job} is done")
+
+
+def freeze_past_the_session(system: System) -> None:
+    """Freeze an instance until another has taken its shards over, then resume it."""
+    system.signal("kista", signal.SIGSTOP)
+    time.sleep(4.0)
+    system.signal("kista", signal.SIGCONT)
+
+
+def restart_platform(system: System) -> None:
+    """Make the platform unreachable for a while; it keeps its state."""
+    system.signal("platform", signal.SIGSTOP)
+    time.sleep(3.0)
+    system.signal("platform", signal.SIGCONT)
+
+
+def stop_as_planned(system: System) -> None:
+    assert system.terminate("kista") == 0
+
+
+FAULTS: list[Callable[[System], None]] = [
+    lambda system: system.kill("kista"),
+    freeze_past_the_session,
+    restart_platform,
+    stop_as_planned,
+]
+
+
+@pytest.mark.parametrize("fault", FAULTS, ids=["kill", "freeze", "outage", "stop"])
+def test_work_survives_a_fault(tmp_path: Path, fault: Callable[[System], None]) -> None:
+    """Guards against lost, doubled or wrong answers when a process fails."""
+    with running_system(tmp_path) as system:
+        confirm_intent(system)
+        assert check_price(system, "kista", 0).status == 200
+        submit(system, "watch", tasks=9, run_ms=1_500)
+        replies: list[Reply] = []
+        stop = threading.Event()
+
+        def keep_asking(name: str) -> None:
+            number = 0
+            while not stop.is_set():
+                number += 1
+                replies.append(check_price(system, name, number))
+
+        with ThreadPoolExecutor() as pool:
+            askers = [pool.submit(keep_asking, name) for name in DATA_CENTRES[1:]]
+            offers = [
+                pool.submit(offer_banquet, system, name, f"offer-{number}")
+                for number in range(6)
+                for name in DATA_CENTRES[1:]
+            ]
+            fault(system)
+            wait_done(system, "arlanda", "watch")
+            stop.set()
+            for asker in askers:
+                asker.result()
+            offered = [offer.result() for offer in offers]
+        account = system.account()
+        assert account["violations"] == []
+        assert account["runs"]["tasks_done"] == {f"watch/{n}": 1 for n in range(9)}
+        answered = [reply for reply in replies if reply.status == 200]
+        assert len(answered) > 10
+        refused = [r for r in replies + offered if r.status != 200]
+        assert all(reply.json()["code"] > 0 for reply in refused)
+        for number in range(6):
+            again = offer_banquet(system, "arlanda", f"offer-{number}")
+            if again.status == 200:
+                assert again.body == b"banquet-offer answers offer offer-%d" % number
+        starts = system.account()["runs"]["request_runs"]
+        for number in range(6):
+            name = f"planner/offer-{number}#"
+            assert sum(n for run, n in starts.items() if run.startswith(name)) <= 1
