Test ownership, request path and task life cycle in virtual time

Directed and random tests of sessions, takeover, hand-over, slots, idempotency records, dispatch, jobs, tasks and evictions, judged by the stand-ins' account.

Ruled out: taking NEVER_SEEN from a new incarnation as not run; recognising an unconfirmed write by its run id; starting on an unconfirmed record.

--- a/hyssopweir/standin_workers.py
+++ b/hyssopweir/standin_workers.py
@@ -448,7 +448,8 @@
 
     async def _wait_for_change(self, wait_ms: Millis) -> None:
         try:
-            await asyncio.wait_for(self._changed.wait(), wait_ms / 1_000)
+            async with asyncio.timeout(wait_ms / 1_000):
+                await self._changed.wait()
         except TimeoutError:
             return
 
--- a/hyssopweir/worker_links.py
+++ b/hyssopweir/worker_links.py
@@ -49,6 +49,7 @@
         self.worker = worker
         self.epoch = epoch
         self.fence: Fence | None = None
+        self.needs_claim = True
         self.incarnation = ""
         self.revision = NO_REVISION
         self.clock_ms: Millis = 0
@@ -109,10 +110,12 @@
         """Return the end of a new lease on the worker's clock, None until claimed.
 
         The worker read its clock before its reply was received, so the lease ends no
-        later than the term from now on the local clock, but for clock drift.
+        later than the term from now on the local clock, but for clock drift. After a
+        failed watch there is no new lease until the worker has answered a claim, so
+        that the leases of a silent worker expire.
         """
         link = self._links.get(worker_id)
-        if link is None or link.fence is None:
+        if link is None or link.needs_claim:
             return None
         now_ms = self._clock.now_ms()
         term_ms = self._timing["lease_ms"]
@@ -211,11 +214,11 @@
             await self._clock.sleep_ms(backoff.next_ms())
 
     async def _claim_and_watch(self, link: _Link, backoff: Backoff) -> Failure:
-        if link.fence is None:
-            claimed = await self._client.claim(link.worker, link.epoch)
-            if isinstance(claimed, Err):
-                return claimed.err_value
-            self._note_claim(link, claimed.ok_value)
+        link.needs_claim = True
+        claimed = await self._client.claim(link.worker, link.epoch)
+        if isinstance(claimed, Err):
+            return claimed.err_value
+        self._note_claim(link, claimed.ok_value)
         while True:
             watched = await self._watch(link)
             if isinstance(watched, Err):
@@ -247,6 +250,7 @@
         restarted = link.incarnation not in ("", inventory.incarnation)
         link.incarnation = inventory.incarnation
         link.fence = Fence(link.epoch, inventory.incarnation)
+        link.needs_claim = False
         if restarted:
             link.leaving = False
             self._events.emit(Event.WORKER_RESTARTED, worker=worker.worker_id)
@@ -268,6 +272,7 @@
         """Count the worker as full, and react to the worker's refusal."""
         worker = link.worker
         self._ledger.forget(worker.worker_id)
+        link.needs_claim = True
         link.revision = NO_REVISION
         if failure.code is Code.STALE_INCARNATION:
             link.fence = None
--- /dev/null
+++ b/tests/task_world.py
@@ -0,0 +1,168 @@
+"""Instances with the real links, slots and view, as far as tasks need them."""
+
+from collections.abc import Callable
+from typing import Any, cast
+
+from hyssopweir.commits import GroupCommit
+from hyssopweir.contracts import FINAL_TASK_STATES, TaskRow, TaskState
+from hyssopweir.fleet import Listing
+from hyssopweir.fleet_view import FleetView
+from hyssopweir.invariants import Invariants
+from hyssopweir.jobs import JobDesk
+from hyssopweir.slots import SlotLedger
+from hyssopweir.standin_table import StandinTable
+from hyssopweir.table import ABSENT, Put, TableStore
+from hyssopweir.task_rows import Parts
+from hyssopweir.tasks import TaskKeeper
+from hyssopweir.worker_links import WorkerLinks
+
+from .builders import (
+    build_listings,
+    build_log,
+    build_settings,
+    build_workers,
+)
+from .fakes import (
+    FakeFleet,
+    FakeInstanceList,
+    FakeNetwork,
+    FakePeers,
+    FakeTableService,
+    FakeWorkerClient,
+)
+from .virtual_time import VirtualClock
+
+SHARD = "kista/r0"
+
+
+class World:
+    """Hold what all instances of one test share."""
+
+    def __init__(self, workers: int = 4, **fields: Any) -> None:
+        self.clock = VirtualClock()
+        self.table = StandinTable()
+        self.machines = build_workers(workers, **fields)
+        self.fleet = FakeFleet(self.machines, self.clock)
+        self.listing = FakeInstanceList(build_listings(self.machines))
+        self.network = FakeNetwork(self.clock)
+        self.instances: list[Instance] = []
+        self.shards = sorted({worker.shard for worker in self.machines})
+
+    async def instance(self, session: str = "one") -> "Instance":
+        instance = Instance(self, session)
+        self.instances.append(instance)
+        for service in (instance.view, instance.commits, instance.links):
+            await service.start()
+        await instance.keeper.start()
+        await instance.view.refresh()
+        return instance
+
+    def unlist(self, worker_id: str) -> None:
+        kept = [
+            item for item in self.listing.listings if item[0].worker_id != worker_id
+        ]
+        self.listing.listings = kept
+
+    def show_leaving(self, worker_id: str) -> None:
+        self.fleet.workers[worker_id].leave()
+        self.listing.listings = [
+            Listing(item.worker, item.leaving or item.worker.worker_id == worker_id)
+            for item in self.listing.listings
+        ]
+
+    def task(self, job: str = "price-watch", number: int = 0) -> TaskRow:
+        row = self.table.read(f"tasks/{job}/{number}")
+        assert row is not None
+        return cast(TaskRow, row.value)
+
+    def states(self, job: str = "price-watch") -> list[str]:
+        rows = self.table.scan(f"tasks/{job}/", "", 1_000)
+        return [str(row.value["state"]) for row in rows]
+
+    async def until(self, holds: Callable[[], bool], limit_ms: int = 60_000) -> None:
+        end_ms = self.clock.now_ms() + limit_ms
+        while not holds():
+            assert self.clock.now_ms() < end_ms, "not reached in time"
+            await self.clock.sleep_ms(10)
+
+    async def until_state(self, state: str, job: str = "price-watch") -> None:
+        await self.until(lambda: set(self.states(job)) == {state})
+
+    def judge(self) -> None:
+        """Require that no promise was broken and no row is left of ended tasks."""
+        assert self.fleet.account.violations == []
+        assert sum(one.invariants.breaches for one in self.instances) == 0
+        queued = {
+            (row.value["job"], row.value["n"])
+            for row in self.table.scan("queue/", "", 9_999)
+        }
+        for row in self.table.scan("tasks/", "", 9_999):
+            is_final = TaskState(row.value["state"]) in FINAL_TASK_STATES
+            assert is_final != ((row.value["job"], row.value["n"]) in queued), row
+
+
+class Instance:
+    """Join the modules of one entry instance as far as tasks need them."""
+
+    def __init__(self, world: World, session: str) -> None:
+        clock, log = world.clock, build_log(world.clock, session)
+        timing = build_settings()["timing"]
+        self.world, self.session, self.log = world, session, log
+        self.quotas: dict[str, int] = {}
+        self.service = FakeTableService(world.table, clock)
+        self.store = TableStore(self.service, clock, log)
+        self.invariants = Invariants(clock, log)
+        self.slots = SlotLedger(self.invariants, 2)
+        self.view = FleetView(world.listing, clock, log, timing["scan_ms"])
+        self.client = FakeWorkerClient(world.fleet, clock)
+        self.links = WorkerLinks(
+            self.view, self.client, self.slots, self, timing, clock, log
+        )
+        self.commits = GroupCommit(
+            self.store, lambda: session, clock, log, timing["commit_ms"]
+        )
+        parts = Parts(
+            self.store,
+            self.commits,
+            self.client,
+            self.links,
+            self.slots,
+            self.view,
+            self,
+            self.invariants,
+            clock,
+            log,
+            timing["lease_ms"],
+        )
+        peers = FakePeers(world.network, session)
+        self.keeper = TaskKeeper(parts, peers, self.free, self.quotas.get)
+        self.desk = JobDesk(self.store, peers, self.keeper, self.free, clock, log)
+        self.links.on_inventory(self.keeper.take_inventory)
+        self.links.on_restarted(self.keeper.worker_restarted)
+        self.slots.on_free(self.keeper.slot_freed)
+
+    def free(self) -> dict[str, int]:
+        return {
+            shard: max(one.free_in(shard) for one in self.world.instances)
+            for shard in self.view.shards()
+        }
+
+    def free_in(self, shard: str) -> int:
+        workers = self.view.workers_of(shard)
+        return sum(self.slots.free(worker.worker_id, True) for worker in workers)
+
+    def lost(self, shard: str, epoch: int) -> None:
+        self.keeper.shard_lost(shard)
+        self.links.shard_lost(shard)
+
+    async def gain(self, *shards: str) -> None:
+        for shard in shards or self.world.shards:
+            key = f"shards/{shard}"
+            row = self.world.table.read(key)
+            epoch = row.value["epoch"] + 1 if row else 1
+            version = row.version if row else ABSENT
+            owner = {"owner": self.session, "epoch": epoch}
+            assert self.world.table.commit([Put(key, owner, version)], "gain").is_ok()
+            self.links.shard_gained(shard, epoch)
+            self.keeper.shard_gained(shard, epoch)
+        await self.world.clock.sleep_ms(100)
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -140,6 +140,7 @@
         reports = len(rig.events(Event.BAD_INPUT))
         is_old_note = by_note and value == {"version": 1, "body": ONE_SERVICE}
         assert reports == (0 if is_old_note else 2 if by_note else 3)
+        assert not rig.events(Event.INVARIANT_BREACH)
         # The next change repairs the row.
         assert (await rig.keepers[1].change(ONE_SERVICE, 2)).unwrap() == 3
         await asyncio.sleep(1)
--- /dev/null
+++ b/tests/test_requests.py
@@ -0,0 +1,765 @@
+"""The path of a request through several instances, judged at the workers."""
+
+import asyncio
+import random
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from result import Err, Ok, Result
+
+from hyssopweir.clock import Millis
+from hyssopweir.codes import Code, Failure, Outcome, unknown
+from hyssopweir.contracts import Answer, KeyState, Request
+from hyssopweir.dispatch import Dispatcher
+from hyssopweir.events import Event
+from hyssopweir.fleet import Listing
+from hyssopweir.fleet_view import FleetView
+from hyssopweir.forwarding import Forwarder
+from hyssopweir.idempotency import INLINE_ANSWER_BYTES, KeyStore, row_name
+from hyssopweir.invariants import Invariants
+from hyssopweir.retries import Backoff, RetryBudget
+from hyssopweir.routing import ShardRouter, WorkerHealth
+from hyssopweir.slots import SlotLedger
+from hyssopweir.standin_table import StandinTable
+from hyssopweir.table import TableStore
+from hyssopweir.worker_links import WorkerLinks
+from tests.builders import (
+    build_listings,
+    build_log,
+    build_request,
+    build_settings,
+    build_workers,
+)
+from tests.fakes import (
+    FakeFleet,
+    FakeInstanceList,
+    FakeNetwork,
+    FakeObjectStore,
+    FakePeers,
+    FakeTableService,
+    FakeWorkerClient,
+)
+from tests.virtual_time import VirtualClock, run_virtual
+
+TAKEOVER_MS: Millis = 5_600
+SLOW_MS: Millis = 60
+PRECONDITIONS = (Code.KEY_REUSED, Code.KEY_REQUIRED, Code.UNKNOWN_SERVICE)
+SERVICES = {
+    "price-check": {"idempotent": True},
+    "offer": {"idempotent": False},
+    "slow-offer": {"idempotent": False},
+}
+Reply = Result[Answer, Failure]
+
+
+class Owners:
+    """Stand in for membership and ownership of one instance."""
+
+    def __init__(self, world: "World", session: str) -> None:
+        self.world = world
+        self.session = session
+
+    def is_gone(self, session: str) -> bool:
+        return session in self.world.gone
+
+    def owner_of(self, shard: str) -> str | None:
+        return self.world.owners[shard][0] if shard in self.world.owners else None
+
+    def epoch_of(self, shard: str) -> int | None:
+        owner, epoch = self.world.owners.get(shard, ("", 0))
+        return epoch if owner == self.session else None
+
+    def owned(self) -> dict[str, int]:
+        return {
+            shard: epoch
+            for shard, (owner, epoch) in self.world.owners.items()
+            if owner == self.session
+        }
+
+    def lost(self, shard: str, epoch: int) -> None:
+        if self.epoch_of(shard) is None:
+            node = self.world.nodes[self.session]
+            node.links.shard_lost(shard)
+            node.dispatcher.shard_lost(shard)
+
+
+class Configuration:
+    body: dict[str, Any] = {"services": SERVICES}
+
+
+class Node:
+    """Assemble the request path of one instance."""
+
+    def __init__(self, world: "World", session: str, data_centre: str) -> None:
+        clock, cfg = world.clock, world.cfg
+        self.session, self.log = session, build_log(clock, session)
+        self.table = FakeTableService(world.table, clock, seed=len(world.nodes))
+        self.store = TableStore(self.table, clock, self.log)
+        self.keys = KeyStore(self.store, world.objects, self.log)
+        self.invariants = Invariants(clock, self.log)
+        self.ledger = SlotLedger(self.invariants, 2)
+        self.client = FakeWorkerClient(world.fleet, clock)
+        self.view = FleetView(world.listing, clock, self.log, 500)
+        self.peers = FakePeers(world.network, session)
+        owners = self.owners = Owners(world, session)
+        self.links = WorkerLinks(
+            self.view,
+            self.client,
+            self.ledger,
+            owners,
+            cfg["timing"],
+            clock,
+            self.log,
+        )
+        self.dispatcher = Dispatcher(
+            owners,
+            self.view,
+            owners,
+            self.links,
+            self.ledger,
+            self.keys,
+            self.client,
+            self.peers,
+            self.invariants,
+            cfg,
+            clock,
+            self.log,
+        )
+        self.router = ShardRouter(
+            owners,
+            data_centre,
+            {"huddinge": 3.5, "kista": 3.5},
+            self.view,
+            owners,
+            self.peers,
+            self.dispatcher.load,
+            clock,
+            random.Random(1),
+        )
+        self.peers.on_note("load", self.router.note_load)
+        self.forwarder = Forwarder(
+            owners,
+            owners,
+            Configuration(),
+            self.router,
+            self.dispatcher,
+            self.keys,
+            self.peers,
+            RetryBudget(100),
+            self.invariants,
+            clock,
+            self.log,
+        )
+        self.services = (self.view, self.links, self.dispatcher)
+
+    async def start(self) -> None:
+        await self.view.refresh()
+        for service in self.services:
+            await service.start()
+
+    async def kill(self) -> None:
+        self.table.down = True
+        self.client.cut.update(self.client.fleet.workers)
+        self.peers.disconnect()
+        for service in self.services:
+            await service.stop()
+
+
+class World:
+    """Hold the platform, three instances and the shards that two of them own."""
+
+    def __init__(self, workers: int = 2, **limits: int) -> None:
+        self.clock = VirtualClock()
+        self.cfg = build_settings(limits=limits)
+        self.workers = build_workers(workers) + build_workers(workers, "huddinge")
+        self.fleet = FakeFleet(self.workers, self.clock)
+        for worker in self.fleet.workers.values():
+            worker.service_ms = {"slow-offer": SLOW_MS}
+        self.listing = FakeInstanceList(build_listings(self.workers))
+        self.table = StandinTable()
+        self.objects = FakeObjectStore()
+        self.network = FakeNetwork(self.clock)
+        self.owners: dict[str, tuple[str, int]] = {}
+        self.gone: set[str] = set()
+        self.nodes: dict[str, Node] = {}
+        self.background: set[asyncio.Task[None]] = set()
+        for session, place in (("a", "kista"), ("b", "huddinge"), ("c", "kista")):
+            self.nodes[session] = Node(self, session, place)
+
+    async def start(self) -> "World":
+        for node in self.nodes.values():
+            await node.start()
+        self.give("kista/r0", "a")
+        self.give("huddinge/r0", "b")
+        await self.clock.sleep_ms(50)
+        return self
+
+    def give(self, shard: str, session: str) -> None:
+        former, epoch = self.owners.get(shard, (None, 0))
+        self.owners[shard] = (session, epoch + 1)
+        if former is not None and former not in self.gone:
+            self.nodes[former].links.shard_lost(shard)
+            self.nodes[former].dispatcher.shard_lost(shard)
+        self.nodes[session].links.shard_gained(shard, epoch + 1)
+
+    async def kill_owner(self, session: str, heir: str) -> None:
+        await self.nodes[session].kill()
+        await self.clock.sleep_ms(TAKEOVER_MS)
+        self.gone.add(session)
+        for shard, (owner, _) in list(self.owners.items()):
+            if owner == session:
+                self.give(shard, heir)
+
+    def later(self, delay_ms: Millis, act: Callable[[], Any]) -> None:
+        async def run() -> None:
+            await self.clock.sleep_ms(delay_ms)
+            result = act()
+            if asyncio.iscoroutine(result):
+                await result
+
+        task = asyncio.create_task(run())
+        self.background.add(task)
+        task.add_done_callback(self.background.discard)
+
+    async def send(self, session: str, req: Request, within_ms: Millis) -> Reply:
+        req = req._replace(expires_ms=self.clock.now_ms() + within_ms)
+        reply = await self.nodes[session].forwarder.handle(req)
+        if isinstance(reply, Ok):
+            assert reply.ok_value.request_id == req.request_id
+            assert reply.ok_value.body.endswith(b" answers " + req.body)
+        elif (
+            _is_not_run(reply) and reply.err_value.code not in PRECONDITIONS and req.key
+        ):
+            row = self.table.read(row_name(req.caller, req.key))
+            assert row is not None
+            assert row.value["state"] == KeyState.NOT_RUN
+        return reply
+
+    def runs(self, key: str) -> int:
+        return self.fleet.account.runs_of(f"planner/{key}")
+
+    def judge(self, key: str, *replies: Reply) -> None:
+        """Require at most one run, and that what callers were told is true."""
+        runs = self.runs(key)
+        assert runs <= 1
+        for reply in replies:
+            if isinstance(reply, Ok):
+                assert runs == 1
+        if replies and all(_is_not_run(reply) for reply in replies):
+            assert runs == 0
+
+    def end(self) -> None:
+        assert self.fleet.account.violations == []
+        assert [n.invariants.breaches for n in self.nodes.values()] == [0, 0, 0]
+        for node in self.nodes.values():
+            failed = [r for r in node.log if r.event is Event.BACKGROUND_TASK_FAILED]
+            assert failed == []
+
+
+def _is_not_run(reply: Reply) -> bool:
+    return isinstance(reply, Err) and reply.err_value.outcome is Outcome.NOT_RUN
+
+
+def keyed(number: int = 0, service: str = "slow-offer", **fields: Any) -> Request:
+    fields = {"key": f"k{number}", "service": service, "idempotent": False, **fields}
+    return build_request(number, **fields)
+
+
+def in_world(
+    story: Callable[[World], Awaitable[None]],
+    workers: int = 2,
+    **limits: int,
+) -> None:
+    async def main() -> None:
+        world = await World(workers, **limits).start()
+        await story(world)
+        world.end()
+
+    run_virtual(main())
+
+
+@pytest.mark.parametrize("kill_ms", range(0, 90, 4))
+@pytest.mark.parametrize("receiver", ["c", "b"])
+def test_owner_killed_during_keyed_request(kill_ms: int, receiver: str) -> None:
+    """Guards against a second run, or a false refusal, after a takeover."""
+
+    async def story(world: World) -> None:
+        if receiver == "b":
+            world.give("huddinge/r0", "a")
+            await world.clock.sleep_ms(50)
+        world.later(kill_ms, lambda: world.kill_owner("a", "c"))
+        first = await world.send(receiver, keyed(0), 15_000)
+        again = await world.send("c", keyed(0, request_id="again"), 15_000)
+        world.judge("k0", first, again)
+        assert again.is_ok(), again
+        assert world.runs("k0") == 1
+
+    in_world(story)
+
+
+@pytest.mark.parametrize("offset_ms", [0, 1, 3, 7, 20, 65, 80])
+@pytest.mark.parametrize("pair", ["ab", "bc", "ac", "cc"])
+def test_same_key_at_two_instances(offset_ms: int, pair: str) -> None:
+    """Guards against two runs when a caller sends a request twice."""
+
+    async def story(world: World) -> None:
+        first = asyncio.create_task(world.send(pair[0], keyed(0), 5_000))
+        await world.clock.sleep_ms(offset_ms)
+        second = await world.send(pair[1], keyed(0, request_id="twin"), 5_000)
+        replies = [await first, second]
+        assert all(reply.is_ok() for reply in replies), replies
+        assert replies[0].unwrap().body == replies[1].unwrap().body
+        assert world.runs("k0") == 1
+
+    in_world(story)
+
+
+@pytest.mark.parametrize("body", [b"other", b"smorgasbord 0"])
+def test_key_of_another_request_is_refused(body: bytes) -> None:
+    """Guards against the answer to another body or another service."""
+
+    async def story(world: World) -> None:
+        first = await world.send("a", keyed(0), 5_000)
+        service = "offer" if body == b"smorgasbord 0" else "slow-offer"
+        other = keyed(0, service, request_id="other", body=body)
+        second = await world.send("b", other, 5_000)
+        assert first.is_ok()
+        assert second.unwrap_err().code is Code.KEY_REUSED
+        assert world.runs("k0") == 1
+
+    in_world(story)
+
+
+@pytest.mark.parametrize("share", [0.2, 0.6, 1.0])
+def test_lost_table_replies(share: float) -> None:
+    """Guards against a dispatch or a refusal that trusts a lost reply."""
+
+    async def story(world: World) -> None:
+        for node in world.nodes.values():
+            node.table.lost_reply_share = share
+        sends = [world.send("abc"[n % 3], keyed(n), 8_000) for n in range(24)]
+        replies = await asyncio.gather(*sends)
+        for node in world.nodes.values():
+            node.table.lost_reply_share = 0.0
+        await world.clock.sleep_ms(5_000)
+        for n, reply in enumerate(replies):
+            world.judge(f"k{n}", reply)
+            row = world.table.read(row_name("planner", f"k{n}"))
+            assert row is None or row.value["state"] != KeyState.DISPATCHED
+        again = [
+            world.send("c", keyed(n, request_id=f"x{n}"), 8_000) for n in range(24)
+        ]
+        assert all(reply.is_ok() for reply in await asyncio.gather(*again))
+        assert all(world.runs(f"k{n}") == 1 for n in range(24))
+
+    in_world(story)
+
+
+@pytest.mark.parametrize("is_applied", [False, True])
+def test_unconfirmed_dispatch_is_settled(is_applied: bool) -> None:
+    """Guards against a run, or a record left open, after an unconfirmed write."""
+
+    async def story(world: World) -> None:
+        node, key = world.nodes["a"], row_name("planner", "k0")
+        commit = node.table.commit
+
+        async def lose(*args: Any) -> Result[dict[str, int], Failure]:
+            node.table.down = is_applied
+            if is_applied and node.store.is_up:
+                world.table.commit(*args)
+            return Err(unknown(Code.STORE_OUTCOME_UNKNOWN, "no reply"))
+
+        for worker in world.fleet.workers.values():
+            worker.service_ms = {"slow-offer": 2_000}
+        node.table.commit = lose  # type: ignore[method-assign]
+        failure = (await world.send("a", keyed(0), 10_000)).unwrap_err()
+        assert failure.code is Code.STORE_OUTCOME_UNKNOWN
+        assert failure.extra["attempt"] == "not_run"
+        assert node.keys.unconfirmed == 1
+        node.table.commit, node.table.down = commit, False  # type: ignore[method-assign]
+        assert (world.table.read(key) is not None) == is_applied
+        again = keyed(0, request_id="again")
+        assert (await world.send("a", again, 9_000)).is_ok()
+        assert node.keys.unconfirmed == 0
+        row = world.table.read(key)
+        assert row is not None
+        assert row.value["state"] == KeyState.DONE
+        assert world.runs("k0") == 1
+
+    in_world(story)
+
+
+def test_table_down() -> None:
+    """Guards against idempotent work that stops, or keyed work that starts."""
+
+    async def story(world: World) -> None:
+        running = asyncio.create_task(world.send("a", keyed(0), 5_000))
+        await world.clock.sleep_ms(30)
+        for node in world.nodes.values():
+            node.table.down = True
+        served = await world.send("c", build_request(1), 1_000)
+        refused = await world.send("c", keyed(2), 1_000)
+        assert served.is_ok()
+        assert refused.unwrap_err().code is Code.STORE_UNAVAILABLE
+        assert refused.unwrap_err().extra["attempt"] == "not_run"
+        assert (await running).is_ok()
+        assert world.runs("k2") == 0
+        for node in world.nodes.values():
+            node.table.down = False
+        await world.clock.sleep_ms(3_000)
+        again = await world.send("b", keyed(0, request_id="again"), 1_000)
+        assert again.is_ok()
+        assert world.runs("k0") == 1
+
+    in_world(story)
+
+
+@pytest.mark.parametrize("size", [10, INLINE_ANSWER_BYTES + 1])
+@pytest.mark.parametrize("down", [False, True])
+def test_recorded_answer_is_whole(size: int, down: bool) -> None:
+    """Guards against a repeated answer that is cut off or lost."""
+
+    async def story(world: World) -> None:
+        world.objects.down = down
+        body = random.Random(size).randbytes(size)
+        first = await world.send("a", keyed(0, body=body), 2_000)
+        world.objects.down = False
+        await world.clock.sleep_ms(3_000)
+        again = await world.send("b", keyed(0, body=body, request_id="x"), 2_000)
+        assert first.unwrap().body == again.unwrap().body
+        assert world.runs("k0") == 1
+
+    in_world(story)
+
+
+@pytest.mark.parametrize("fault", ["kill", "restart"])
+@pytest.mark.parametrize("at_ms", [0, 3, 10, 40, 70])
+@pytest.mark.parametrize("is_keyed", [False, True])
+def test_worker_fails_during_request(fault: str, at_ms: int, is_keyed: bool) -> None:
+    """Guards against a second run of an offer and against a lost price check."""
+
+    async def story(world: World) -> None:
+        req = keyed(0) if is_keyed else build_request(0)
+
+        def fail_busy_workers() -> None:
+            for worker_id, worker in world.fleet.workers.items():
+                if worker.used_slots():
+                    getattr(world.fleet, fault)(worker_id)
+
+        world.later(at_ms, fail_busy_workers)
+        reply = await world.send("c", req, 6_000)
+        if is_keyed:
+            await world.clock.sleep_ms(8_000)
+            again = await world.send("b", req._replace(request_id="x"), 4_000)
+            world.judge("k0", reply, again)
+        else:
+            assert reply.is_ok(), reply
+
+    in_world(story, workers=3)
+
+
+def test_frozen_worker_answers_after_the_deadline() -> None:
+    """Guards against a slot that is given twice and a second run of a late delivery."""
+
+    async def story(world: World) -> None:
+        worker_id = world.workers[0].worker_id
+        world.fleet.kill(world.workers[1].worker_id)
+        await world.clock.sleep_ms(4_000)
+        world.fleet.freeze(worker_id)
+        late = await world.send("a", keyed(0), 300)
+        assert late.unwrap_err().outcome is Outcome.UNKNOWN
+        assert world.nodes["a"].ledger.in_flight(worker_id) == 1
+        world.later(2_000, lambda: world.fleet.resume(worker_id))
+        again = await world.send("a", keyed(0, request_id="again"), 10_000)
+        assert again.is_ok()
+        assert world.runs("k0") == 1
+        await world.clock.sleep_ms(3_000)
+        assert world.nodes["a"].ledger.in_flight(worker_id) == 0
+        assert world.nodes["a"].ledger.free(worker_id, is_task=False) == 8
+
+    in_world(story)
+
+
+@pytest.mark.parametrize("count", [150, 400])
+def test_overload_is_refused_truthfully(count: int) -> None:
+    """Guards against work beyond the slots and refusals of requests that run."""
+
+    async def story(world: World) -> None:
+        sends = [world.send("abc"[n % 3], keyed(n), 400) for n in range(count)]
+        replies = await asyncio.gather(*sends)
+        await world.clock.sleep_ms(2_000)
+        for n, reply in enumerate(replies):
+            world.judge(f"k{n}", reply)
+        refused = [reply for reply in replies if _is_not_run(reply)]
+        assert sum(reply.is_ok() for reply in replies) > 60
+        assert len(refused) > count // 10
+        load = world.nodes["a"].dispatcher.load()["shards"]["kista/r0"]
+        assert load == {"free": 16, "queued": 0, "wait_ms": 0}
+
+    in_world(story, queue_per_shard=30)
+
+
+def test_queue_serves_urgent_requests_first() -> None:
+    """Guards against an urgent request that waits behind ordinary ones."""
+
+    async def story(world: World) -> None:
+        ends: list[str] = []
+
+        async def send(name: str, urgent: bool, within_ms: int) -> None:
+            req = build_request(0, request_id=name, urgent=urgent)
+            assert (await world.send("a", req, within_ms)).is_ok()
+            ends.append(name)
+
+        first = [send(f"first-{n}", False, 1_000) for n in range(8)]
+        rest = [
+            send("late", False, 9_000),
+            send("soon", False, 5_000),
+            send("urgent", True, 9_000),
+        ]
+        filler = [send(f"filler-{n}", False, 7_000) for n in range(7)]
+        await asyncio.gather(*first, *rest, *filler)
+        order = [ends.index(name) for name in ("urgent", "soon", "late")]
+        assert order == sorted(order)
+        assert ends.index("late") >= 16
+
+    in_world(story, workers=1)
+
+
+@pytest.mark.parametrize(
+    ("is_told", "listed_after_ms"), [(True, 0), (True, 2_000), (False, 0)]
+)
+def test_leaving_worker_gets_no_new_work(is_told: bool, listed_after_ms: int) -> None:
+    """Guards against work for a worker that leaves, if only it or the list says so."""
+
+    async def story(world: World) -> None:
+        leaving = world.workers[0]
+
+        def show() -> None:
+            world.listing.listings[0] = Listing(leaving, leaving=True)
+
+        for n in range(100):
+            if n == 20 and is_told:
+                world.fleet.workers[leaving.worker_id].leave()
+            if n == 20:
+                world.later(listed_after_ms, show)
+            reply = await world.send("c", build_request(n), 1_000)
+            assert reply.is_ok()
+            await world.clock.sleep_ms(50)
+        given = [
+            record
+            for record in world.nodes["a"].log
+            if record.event is Event.REQUEST_DISPATCHED
+            and record.fields["worker"] == leaving.worker_id
+            and int(record.fields["request_id"].removeprefix("req-")) >= 30
+        ]
+        assert given == []
+
+    in_world(story)
+
+
+def test_refusal_after_a_lost_try_is_not_called_not_run() -> None:
+    """Guards against "not run" for a price check whose first try did run."""
+
+    async def story(world: World) -> None:
+        world.network.cut.update({("a", "c"), ("b", "c")})
+        world.later(10, lambda: world.network.cut.update({("c", "a"), ("c", "b")}))
+        reply = await world.send("c", build_request(0), 5_000)
+        assert reply.unwrap_err().outcome is Outcome.UNKNOWN
+        assert sum(world.fleet.account.request_runs.values()) == 1
+
+    in_world(story)
+
+
+def test_answers_out_of_order_reach_their_callers() -> None:
+    """Guards against answers that are matched by order."""
+
+    async def story(world: World) -> None:
+        rng = random.Random(5)
+        for worker in world.fleet.workers.values():
+            worker.service_ms = {"price-check": rng.randrange(5, 200)}
+        sends = [world.send("abc"[n % 3], build_request(n), 9_000) for n in range(90)]
+        assert all(reply.is_ok() for reply in await asyncio.gather(*sends))
+
+    in_world(story)
+
+
+@pytest.mark.parametrize(
+    ("fields", "code"),
+    [
+        ({"service": "nowhere"}, Code.UNKNOWN_SERVICE),
+        ({"service": "offer", "key": None}, Code.KEY_REQUIRED),
+    ],
+)
+def test_bad_requests_are_refused(fields: dict[str, Any], code: Code) -> None:
+    """Guards against a request without its preconditions that reaches a worker."""
+
+    async def story(world: World) -> None:
+        reply = await world.send("c", build_request(0, **fields), 1_000)
+        assert reply.unwrap_err().code is code
+        assert _is_not_run(reply)
+        assert not world.fleet.account.request_runs
+
+    in_world(story)
+
+
+@pytest.mark.parametrize("params", [{}, {"shard": 1}, {"request": {}, "shard": "x"}])
+@pytest.mark.parametrize("method", ["execute", "resolve"])
+def test_bad_calls_of_peers_are_refused(method: str, params: dict[str, Any]) -> None:
+    """Guards against an exception in the handler of a malformed call."""
+
+    async def story(world: World) -> None:
+        reply = await world.nodes["b"].peers.call("a", method, params, 10**9)
+        assert reply.unwrap_err().code is Code.PEER_JUNK
+        world.nodes["a"].router.note_load("b", {"shards": {"x/r0": params, "y": 3}})
+
+    in_world(story)
+
+
+def test_links_follow_restart_and_convert_leases() -> None:
+    """Guards against a lease that outlives its term after a restart or a long poll."""
+
+    async def story(world: World) -> None:
+        links, worker = world.nodes["a"].links, world.workers[0]
+        restarted: list[str] = []
+        links.on_restarted(lambda worker: restarted.append(worker.worker_id))
+        before = links.fence_of(worker.worker_id)
+        await world.clock.sleep_ms(1_000)
+        now_ms = world.clock.now_ms()
+        lease_until_ms = links.lease_until_ms(worker.worker_id)
+        assert lease_until_ms is not None
+        assert now_ms + 14_990 <= lease_until_ms <= now_ms + 15_000
+        assert links.lease_sent_until_ms(worker.worker_id) == now_ms + 15_000
+        world.fleet.restart(worker.worker_id)
+        await world.clock.sleep_ms(5_000)
+        assert restarted == [worker.worker_id]
+        assert links.fence_of(worker.worker_id) != before
+        world.listing.listings = world.listing.listings[1:]
+        await world.clock.sleep_ms(2_000)
+        assert links.fence_of(worker.worker_id) is None
+        assert links.held_since_ms("kista/r0") is not None
+
+    in_world(story)
+
+
+def test_worker_that_fails_everything_is_ejected_and_probed() -> None:
+    """Guards against a broken worker that attracts requests by being idle."""
+
+    async def story(world: World) -> None:
+        broken = world.fleet.workers[world.workers[0].worker_id]
+        broken.fails_everything = True
+        replies = [await world.send("a", build_request(n), 2_000) for n in range(60)]
+        assert all(reply.is_ok() for reply in replies)
+        broken.fails_everything = False
+        health: WorkerHealth = world.nodes["a"].dispatcher._health
+        assert health.is_ejected(broken.worker.worker_id)
+        await world.clock.sleep_ms(60_000)
+        sends = [world.send("a", build_request(n), 2_000) for n in range(100, 130)]
+        assert all(reply.is_ok() for reply in await asyncio.gather(*sends))
+        assert not health.is_ejected(broken.worker.worker_id)
+
+    in_world(story)
+
+
+def test_retry_budget_and_backoff_are_bounded() -> None:
+    """Guards against retries that multiply the load of an overload."""
+    budget = RetryBudget(10)
+    spent = sum(budget.try_retry() for _ in range(100))
+    for _ in range(1_000):
+        budget.note_first_attempt()
+        spent += budget.try_retry()
+    assert 100 <= spent <= 111
+    assert not RetryBudget(0).try_retry()
+    backoff = Backoff(10, 100, random.Random(2))
+    delays = [backoff.next_ms() for _ in range(200)]
+    assert max(delays[1:]) <= 100
+    assert delays[0] <= 10
+
+
+WORKER_FAULTS = ["kill", "restart", "freeze"]
+OTHER_FAULTS = ["kill_owner", "down", "lose", "cut", "deaf", "hand_over"]
+FAULTS = st.tuples(
+    st.sampled_from(WORKER_FAULTS + OTHER_FAULTS),
+    st.integers(0, 300),
+    st.integers(0, 3),
+    st.integers(1, 3_000),
+)
+
+
+def _inject(world: World, name: str, at_ms: int, which: int, for_ms: int) -> None:
+    worker_id = world.workers[which].worker_id
+    fleet, nodes = world.fleet, list(world.nodes.values())
+    session = "abc"[which % 3]
+
+    def freeze() -> None:
+        if worker_id not in fleet.frozen:
+            fleet.freeze(worker_id)
+            world.later(for_ms, lambda: fleet.resume(worker_id))
+
+    def tables(field: str, value: object) -> None:
+        for node in nodes:
+            if node.session not in world.gone and node.session in world.network.nodes:
+                setattr(node.table, field, value)
+
+    def hand_over() -> None:
+        heir = next(s for s in ("c", "b") if s in world.network.nodes)
+        if world.owners["kista/r0"][0] in world.network.nodes:
+            world.give("kista/r0", heir)
+
+    acts: dict[str, list[tuple[int, Callable[[], Any]]]] = {
+        "kill_owner": [(0, lambda: world.kill_owner("a", "c"))],
+        "kill": [(0, lambda: fleet.kill(worker_id))],
+        "restart": [(0, lambda: fleet.restart(worker_id))],
+        "freeze": [(0, freeze)],
+        "down": [
+            (0, lambda: tables("down", True)),
+            (for_ms, lambda: tables("down", 0)),
+        ],
+        "lose": [
+            (0, lambda: tables("lost_reply_share", 0.7)),
+            (for_ms, lambda: tables("lost_reply_share", 0.0)),
+        ],
+        "cut": [
+            (0, lambda: world.network.cut.add(("c", session))),
+            (for_ms, lambda: world.network.cut.discard(("c", session))),
+        ],
+        "deaf": [
+            (0, lambda: world.network.cut.add((session, "c"))),
+            (for_ms, lambda: world.network.cut.discard((session, "c"))),
+        ],
+        "hand_over": [(0, hand_over)],
+    }
+    for delay_ms, act in acts[name]:
+        world.later(at_ms + delay_ms, act)
+
+
+@settings(derandomize=True, max_examples=60, deadline=None)
+@given(st.lists(FAULTS, max_size=4, unique_by=lambda fault: fault[0]))
+def test_promises_hold_under_random_faults(
+    faults: list[tuple[str, int, int, int]],
+) -> None:
+    """Guards against faults in combination that break P1, P4, P5 or P6."""
+
+    async def story(world: World) -> None:
+        for fault in faults:
+            _inject(world, *fault)
+        replies: dict[int, list[Reply]] = {n: [] for n in range(30)}
+
+        async def call(n: int) -> None:
+            await world.clock.sleep_ms(n * 10)
+            for attempt, session in enumerate("cbc"):
+                req = keyed(n, request_id=f"r{n}-{attempt}")
+                reply = await world.send(session, req, 700 + 2_500 * attempt)
+                replies[n].append(reply)
+                if reply.is_ok():
+                    return
+
+        plain = [world.send("c", build_request(n), 4_000) for n in range(100, 130)]
+        await asyncio.gather(*(call(n) for n in range(30)), *plain)
+        await world.clock.sleep_ms(20_000)
+        for n, told in replies.items():
+            world.judge(f"k{n}", *told)
+
+    in_world(story, workers=2)
--- /dev/null
+++ b/tests/test_task_faults.py
@@ -0,0 +1,199 @@
+"""Random operations and faults with two owners in turn, judged at the workers."""
+
+import asyncio
+from typing import NamedTuple
+
+from hypothesis import HealthCheck, given, settings
+from hypothesis import strategies as st
+
+from .builders import build_job
+from .task_world import SHARD, Instance, World
+from .virtual_time import run_virtual
+
+JOBS = ("job-a", "job-b", "job-c")
+SETTLE_MS = 400_000
+
+
+class Step(NamedTuple):
+    """Hold one operation or fault, and the pause after it."""
+
+    name: str
+    target: int
+    pause_ms: int
+
+
+STEPS = st.lists(
+    st.builds(
+        Step,
+        st.sampled_from(
+            [
+                "submit",
+                "submit",
+                "cancel",
+                "evict",
+                "take_over",
+                "store_down",
+                "lose_replies",
+                "store_up",
+                "kill",
+                "restart",
+                "freeze",
+                "resume",
+                "cut",
+                "leave",
+                "fail_all",
+            ]
+        ),
+        st.integers(0, 5),
+        st.sampled_from([0, 1, 20, 60, 300, 2_000, 20_000]),
+    ),
+    max_size=25,
+)
+
+
+class NaiveLife:
+    """Run the same jobs in one process without faults: what must come out.
+
+    At most two of the six workers fail or leave, so no task may be held.
+    """
+
+    def __init__(self) -> None:
+        self.cancelled: set[str] = set()
+
+    def ends_of(self, job: str) -> set[str]:
+        """Return the ends that a task of the job may have."""
+        return {"done", "cancelled"} if job in self.cancelled else {"done"}
+
+
+class Story:
+    """Apply steps to a world with two instances, and to the naive life cycle."""
+
+    def __init__(self, world: World, instances: list[Instance]) -> None:
+        self.world = world
+        self.instances = instances
+        self.owner = 0
+        self.naive = NaiveLife()
+        self.acts: list[asyncio.Task[object]] = []
+
+    async def apply(self, step: Step) -> None:
+        act = getattr(self, step.name)
+        self.acts.append(asyncio.create_task(act(step.target)))
+        await self.world.clock.sleep_ms(step.pause_ms)
+
+    def any_instance(self, target: int) -> Instance:
+        return self.instances[target % 2]
+
+    def worker_id(self, target: int) -> str:
+        return self.world.machines[target].worker_id
+
+    async def submit(self, target: int) -> None:
+        spec = build_job(
+            JOBS[target % 3], tasks=4, run_ms=[80, 1_500, 9_000][target % 3]
+        )
+        await self.any_instance(target).desk.submit(spec, "buyer")
+
+    async def cancel(self, target: int) -> None:
+        job = JOBS[target % 3]
+        self.naive.cancelled.add(job)
+        await self.any_instance(target).desk.cancel(job)
+
+    async def evict(self, target: int) -> None:
+        for one in self.instances:
+            await one.keeper.evict(f"{JOBS[target % 3]}/{target % 4}", "a test")
+
+    async def take_over(self, target: int) -> None:
+        self.owner = 1 - self.owner
+        await self.instances[self.owner].gain(SHARD)
+
+    async def store_down(self, target: int) -> None:
+        for one in self.instances:
+            one.service.down = True
+
+    async def lose_replies(self, target: int) -> None:
+        for one in self.instances:
+            one.service.lost_reply_share = 0.5
+
+    async def store_up(self, target: int) -> None:
+        for one in self.instances:
+            one.service.down = False
+            one.service.lost_reply_share = 0.0
+
+    async def kill(self, target: int) -> None:
+        await self.resume(target)
+        self.world.fleet.kill(self.worker_id(target))
+
+    async def restart(self, target: int) -> None:
+        await self.resume(target)
+        self.world.fleet.restart(self.worker_id(target))
+
+    async def freeze(self, target: int) -> None:
+        if self.worker_id(target) not in self.world.fleet.frozen:
+            self.world.fleet.freeze(self.worker_id(target))
+
+    async def resume(self, target: int) -> None:
+        if self.worker_id(target) in self.world.fleet.frozen:
+            self.world.fleet.resume(self.worker_id(target))
+
+    async def cut(self, target: int) -> None:
+        one = self.any_instance(target)
+        one.client.cut ^= {self.worker_id(target)}
+
+    async def leave(self, target: int) -> None:
+        if target < 2:
+            self.world.show_leaving(self.worker_id(target))
+
+    async def fail_all(self, target: int) -> None:
+        if target < 2:
+            self.world.fleet.workers[self.worker_id(target)].fails_everything = True
+
+    async def heal(self) -> None:
+        """End all faults; a worker that leaves or fails stays so."""
+        await self.store_up(0)
+        for target, machine in enumerate(self.world.machines):
+            await self.resume(target)
+            if machine.worker_id in self.world.fleet.dead:
+                self.world.fleet.restart(machine.worker_id)
+        for one in self.instances:
+            one.client.cut.clear()
+        await asyncio.wait_for(asyncio.gather(*self.acts), SETTLE_MS / 1_000)
+
+    def accepted(self) -> list[str]:
+        return [job for job in JOBS if self.world.table.read(f"jobs/{job}")]
+
+    def is_settled(self) -> bool:
+        return all(
+            set(self.world.states(job)) <= self.naive.ends_of(job)
+            for job in self.accepted()
+        )
+
+    def judge(self) -> None:
+        self.world.judge()
+        done = self.world.fleet.account.tasks_done
+        for job in self.accepted():
+            for number in range(4):
+                row = self.world.task(job, number)
+                assert row["state"] in self.naive.ends_of(job), row
+                assert done[f"{job}/{number}"] == (row["state"] == "done"), row
+
+
+@settings(
+    max_examples=120,
+    derandomize=True,
+    deadline=None,
+    suppress_health_check=[HealthCheck.too_slow],
+)
+@given(STEPS)
+def test_every_accepted_task_ends_exactly_once(steps: list[Step]) -> None:
+    """Guards against tasks that are lost, doubled or stuck under combined faults."""
+
+    async def run() -> None:
+        world = World(workers=6)
+        story = Story(world, [await world.instance(), await world.instance("two")])
+        await story.instances[0].gain(SHARD)
+        for step in steps:
+            await story.apply(step)
+        await story.heal()
+        await world.until(story.is_settled, SETTLE_MS)
+        story.judge()
+
+    run_virtual(run())
