--- a/Makefile
+++ b/Makefile
@@ -2,6 +2,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 READY := $(VENV)/.ready
+BINARY ?= dist/hyssopweir
 
 .PHONY: demo test check format binary bench soak clean
 
@@ -27,7 +28,8 @@
 	$(BIN)/ruff check --fix hyssopweir tests benchmarks
 
 binary: $(READY)
-	$(BIN)/shiv --quiet --compressed --reproducible -c hyssopweir -o dist/hyssopweir -p "/usr/bin/env python3.11" --no-deps -r requirements.runtime.lock .
+	mkdir -p $(dir $(BINARY))
+	$(BIN)/shiv --quiet --compressed --reproducible -c hyssopweir -o $(BINARY) -p "/usr/bin/env python3.11" --no-deps -r requirements.runtime.lock .
 
 bench: $(READY)
 	$(BIN)/python -m benchmarks
