Treat workers unlisted since the start as gone; act on retired_workers

Cause: gone_since_ms knew only workers that this instance had seen listed. It now counts from the first successful read; an unread list still tells nothing.

retired_workers was recorded only. The fleet view now treats a retired worker as leaving, so it gets no new work and its tasks are evicted.

Ruled out: treating every unknown worker as gone at once, because a worker that another instance already uses may not be listed yet.

--- a/hyssopweir/fleet_view.py
+++ b/hyssopweir/fleet_view.py
@@ -1,5 +1,7 @@
 """The instance list as this instance sees it."""
 
+from collections.abc import Callable, Collection
+
 from mode import Service
 from result import Err
 
@@ -14,7 +16,11 @@
 
 
 class FleetView(Service):
-    """Follow the instance list; the last copy stays in use while it is unavailable."""
+    """Follow the instance list; the last copy stays in use while it is unavailable.
+
+    ``retired`` returns the workers that the configuration retires; they are treated as
+    leaving.
+    """
 
     def __init__(
         self,
@@ -22,13 +28,16 @@
         clock: Clock,
         log: EventLog,
         scan_ms: Millis,
+        retired: Callable[[], Collection[str]] = tuple,
     ) -> None:
         super().__init__()
         self._listing = listing
         self._clock = clock
         self._log = log
         self._scan_ms = scan_ms
+        self._retired = retired
         self._is_available = True
+        self._first_read_ms: Millis | None = None
         self._workers: dict[str, Worker] = {}
         self._by_shard: dict[str, list[Worker]] = {}
         self._leaving_since_ms: dict[str, Millis] = {}
@@ -50,6 +59,8 @@
             return
         self._is_available = True
         listings = {listing.worker.worker_id: listing for listing in reply.ok_value}
+        if self._first_read_ms is None:
+            self._first_read_ms = self._clock.now_ms()
         self._note_gone(listings)
         self._note_leaving(listings)
         self._replace(listings)
@@ -71,12 +82,17 @@
         return sorted(self._by_shard)
 
     def leaving_since_ms(self, worker_id: str) -> Millis | None:
-        """Return since when the worker is listed as leaving, None if it is not."""
+        """Return since when the worker is leaving or retired, None if it is not."""
         return self._leaving_since_ms.get(worker_id)
 
     def gone_since_ms(self, worker_id: str) -> Millis | None:
-        """Return since when the worker is not listed any more, None if it is."""
-        return self._gone_since_ms.get(worker_id)
+        """Return since when the worker is not listed any more, None if it is.
+
+        A worker that left the list before the first read counts from that read.
+        """
+        if worker_id in self._workers:
+            return None
+        return self._gone_since_ms.get(worker_id, self._first_read_ms)
 
     def _note_gone(self, listings: dict[str, Listing]) -> None:
         now_ms = self._clock.now_ms()
@@ -92,10 +108,11 @@
     def _note_leaving(self, listings: dict[str, Listing]) -> None:
         now_ms = self._clock.now_ms()
         before = self._leaving_since_ms
+        retired = frozenset(self._retired())
         self._leaving_since_ms = {
             worker_id: before.get(worker_id, now_ms)
             for worker_id, listing in listings.items()
-            if listing.leaving
+            if listing.leaving or worker_id in retired
         }
         for worker_id in sorted(self._leaving_since_ms.keys() - before.keys()):
             self._log.emit(Event.WORKER_LEAVING, worker=worker_id)
--- a/hyssopweir/instance.py
+++ b/hyssopweir/instance.py
@@ -104,7 +104,13 @@
         self.configuration = ConfigurationKeeper(
             cfg, self.store, self.peers, self.invariants, clock, log
         )
-        self.fleet = FleetView(adapters.listing, clock, log, timing["scan_ms"])
+        self.fleet = FleetView(
+            adapters.listing,
+            clock,
+            log,
+            timing["scan_ms"],
+            lambda: self.configuration.body["retired_workers"],
+        )
         self.ownership = Ownership(
             cfg, self.store, self.membership, self.fleet, self.peers, clock, log
         )
--- a/hyssopweir/plan_accounts.py
+++ b/hyssopweir/plan_accounts.py
@@ -19,7 +19,12 @@
 # Fields that some module acts on; the others are recorded only, and plans say so.
 # docs/configuration.md shows the same, checked by a test.
 ENFORCED_FIELDS = frozenset(
-    {"services.idempotent", "services.urgent", "teams.quota_slots"}
+    {
+        "services.idempotent",
+        "services.urgent",
+        "teams.quota_slots",
+        "retired_workers",
+    }
 )
 
 
