--- a/hyssopweir/entry.py
+++ b/hyssopweir/entry.py
@@ -13,6 +13,7 @@
 from hyssopweir.contracts import Answer, Request
 from hyssopweir.events import Event, EventLog, record_to_dict
 from hyssopweir.explain import explain_job, explain_job_json
+from hyssopweir.metrics import Metrics
 from hyssopweir.settings import Settings
 
 if TYPE_CHECKING:
@@ -62,6 +63,7 @@
         parts: "Parts",
         clock: Clock,
         log: EventLog,
+        metrics: Metrics,
     ) -> None:
         super().__init__()
         self.requests_in_progress = 0
@@ -70,6 +72,7 @@
         self._parts = parts
         self._clock = clock
         self._log = log
+        self._metrics = metrics
         self._numbered = 0
         self._runner: web.AppRunner | None = None
 
@@ -157,7 +160,10 @@
         parsed = self._parse_request(http_req, body)
         if isinstance(parsed, Failure):
             return self._reject(parsed)
+        started_ms = self._clock.now_ms()
         reply = await self._parts.forwarder.handle(parsed)
+        took_ms = self._clock.now_ms() - started_ms
+        self._metrics.time(f"request.{parsed.service}", took_ms)
         if isinstance(reply, Err):
             return self._reject(reply.err_value, request_id=parsed.request_id)
         return self._answer(reply.ok_value)
--- a/hyssopweir/instance.py
+++ b/hyssopweir/instance.py
@@ -318,8 +318,14 @@
             self._clock,
             self.events,
         )
-        self.entry = EntryServer(cfg, self.parts, self._clock, self.events)
         self._metrics = Metrics(cfg.get("statsd"), cfg["instance"])
+        self.entry = EntryServer(
+            cfg,
+            self.parts,
+            self._clock,
+            self.events,
+            self._metrics,
+        )
         self.events.subscribe(self._count_event)
         self._running: list[Service] = []
 
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -26,7 +26,7 @@
     "scan_ms": 250,
     "lease_ms": 2_000,
     "watch_ms": 500,
-    "drain_ms": 300,
+    "drain_ms": 1_500,
 }
 
 
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -142,3 +142,27 @@
         for number in range(6):
             name = f"planner/offer-{number}#"
             assert sum(n for run, n in starts.items() if run.startswith(name)) <= 1
+
+
+def test_planned_stop_cuts_off_no_request(tmp_path: Path) -> None:
+    """Guards against requests that a stopping instance drops or leaves unanswered."""
+    with running_system(tmp_path) as system, ThreadPoolExecutor() as pool:
+        confirm_intent(system)
+        offers = [
+            pool.submit(offer_banquet, system, "kista", f"last-{number}")
+            for number in range(8)
+        ]
+        time.sleep(0.1)
+        system.signal("kista", signal.SIGTERM)
+        wait_until(
+            lambda: http("GET", system.url("kista", "/v1/health/ready")).status == 503,
+            "kista answers not ready",
+        )
+        late = check_price(system, "kista", 1)
+        assert late.status == 200, late.body
+        for number, offer in enumerate(offers):
+            expected = b"banquet-offer answers offer last-%d" % number
+            assert offer.result().body == expected
+        assert system.processes.pop("kista").wait(30) == 0
+        assert system.account()["violations"] == []
+        assert check_price(system, "arlanda", 2).status == 200
