--- a/hyssopweir/entry.py
+++ b/hyssopweir/entry.py
@@ -78,15 +78,14 @@
 
     async def on_start(self) -> None:
         """Listen on the callers' address."""
-        self._runner = web.AppRunner(self._application(), access_log=None)
-        await self._runner.setup()
-        address = self._cfg["callers"]
-        site = web.TCPSite(
-            self._runner,
-            address["host"],
-            address["port"],
+        self._runner = web.AppRunner(
+            self._application(),
+            access_log=None,
             shutdown_timeout=SHUTDOWN_GRACE_S,
         )
+        await self._runner.setup()
+        address = self._cfg["callers"]
+        site = web.TCPSite(self._runner, address["host"], address["port"])
         await site.start()
         self.port = self._runner.addresses[0][1]
 
@@ -225,6 +224,9 @@
         records = await self._parts.jobs.task_rows(http_req.match_info["job"])
         if isinstance(records, Err):
             return self._reject(records.err_value)
+        if records.ok_value.row is None and not records.ok_value.tasks:
+            text = explain_job(records.ok_value)
+            return self._reject(not_run(Code.NOT_FOUND, text))
         answer = explain_job_json(records.ok_value)
         return self._json({"text": explain_job(records.ok_value), **answer})
 
