--- a/Makefile
+++ b/Makefile
@@ -16,7 +16,7 @@
 	$(BIN)/hyssopweir demo
 
 test: $(READY)
-	$(BIN)/python -m pytest
+	$(BIN)/python -m pytest $(PYTEST_ARGS)
 
 check: $(READY)
 	$(BIN)/black --check hyssopweir tests benchmarks
