Test three more faults over separate processes

An owner killed while the platform is frozen, all workers frozen past their leases, and one worker killed.

--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -72,6 +72,10 @@
     wait_until(lambda: http("GET", url).json()["state"] == "done", f"{job} is done")
 
 
+def kill_owner(system: System) -> None:
+    system.kill("kista")
+
+
 def freeze_past_the_session(system: System) -> None:
     """Freeze an instance until another has taken its shards over, then resume it."""
     system.signal("kista", signal.SIGSTOP)
@@ -90,15 +94,41 @@
     assert system.terminate("kista") == 0
 
 
+def kill_owner_in_an_outage(system: System) -> None:
+    """Kill an owner while nobody can take its shards over."""
+    system.signal("platform", signal.SIGSTOP)
+    time.sleep(0.5)
+    system.kill("kista")
+    time.sleep(2.5)
+    system.signal("platform", signal.SIGCONT)
+
+
+def freeze_workers_past_their_leases(system: System) -> None:
+    """Freeze all workers for longer than the leases of their tasks."""
+    system.signal("workers", signal.SIGSTOP)
+    time.sleep(4.5)
+    system.signal("workers", signal.SIGCONT)
+
+
+def kill_a_worker(system: System) -> None:
+    """Kill a worker that runs tasks; the instance list shows it later."""
+    for port in (system.worker_control, system.control):
+        url = f"http://127.0.0.1:{port}/control/workers/kista-w0/kill"
+        assert http("POST", url, b"").status == 200
+
+
 FAULTS: list[Callable[[System], None]] = [
-    lambda system: system.kill("kista"),
+    kill_owner,
     freeze_past_the_session,
     restart_platform,
     stop_as_planned,
+    kill_owner_in_an_outage,
+    freeze_workers_past_their_leases,
+    kill_a_worker,
 ]
 
 
-@pytest.mark.parametrize("fault", FAULTS, ids=["kill", "freeze", "outage", "stop"])
+@pytest.mark.parametrize("fault", FAULTS, ids=lambda fault: fault.__name__)
 def test_work_survives_a_fault(tmp_path: Path, fault: Callable[[System], None]) -> None:
     """Guards against lost, doubled or wrong answers when a process fails."""
     with running_system(tmp_path) as system:
