--- /dev/null
+++ b/benchmarks/__main__.py
@@ -0,0 +1,175 @@
+"""Run the benchmarks; print tables and write all figures to a JSON file."""
+
+import asyncio
+import json
+import os
+import signal
+import sys
+import time
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any, NamedTuple
+
+import click
+
+from benchmarks import report
+from benchmarks.decisions import measure_decisions
+from benchmarks.entry_path import Scale, measure_entry_path
+from benchmarks.flow import (
+    measure_in_flight,
+    measure_key_record,
+    measure_requests,
+    measure_starts,
+    measure_table_calls,
+)
+from benchmarks.instances import measure_idle
+from benchmarks.mesh import measure_mesh
+from benchmarks.state import (
+    measure_configuration,
+    measure_notes,
+    measure_scans,
+    measure_state,
+)
+from benchmarks.wire import measure_wire
+
+FLEETS = (34, 340, 6_500)
+SESSIONS = (9, 24, 72)
+SHARDS = (5, 43, 813)
+MEMORY_BYTES = os.sysconf("SC_PAGE_SIZE") * os.sysconf("SC_PHYS_PAGES")
+
+Lines = list[str]
+
+
+class Part(NamedTuple):
+    """Hold the figures of one part and its tables."""
+
+    figures: Any
+    lines: Lines
+
+
+def run_entry(seed: int, runs: int) -> Part:
+    """Measure the path of a request."""
+    figures = measure_entry_path(seed, Scale(runs=runs))
+    data = {
+        **figures._asdict(),
+        "measurements": [m._asdict() for m in figures.measurements],
+    }
+    return Part(data, report.entry_tables(figures))
+
+
+def run_idle(seed: int, runs: int) -> Part:
+    """Measure idle instances."""
+    costs = measure_idle((34, 136, 340), watch_s=5.0)
+    return Part([cost._asdict() for cost in costs], report.idle_table(costs))
+
+
+def run_state(seed: int, runs: int) -> Part:
+    """Measure the state and the periodic passes over it."""
+    mesh, note_us = asyncio.run(measure_mesh((2, 4, 8), notes=100))
+    slopes = [
+        *measure_state(FLEETS),
+        *measure_scans((24, 240, 2_400)),
+        *measure_configuration(20),
+        *measure_notes(SHARDS),
+        mesh,
+    ]
+    lines = report.slope_table(slopes)
+    text = ", ".join(f"{us:.0f}" for us in note_us)
+    lines += ["", f"Load note of 34 shards, both ends, us at 2, 4, 8 instances: {text}"]
+    return Part({"slopes": _slopes(slopes), "note_us": note_us}, lines)
+
+
+def run_flow(seed: int, runs: int) -> Part:
+    """Measure requests, key records and starts."""
+    starts, start = measure_starts((50, 200, 400), workers=136)
+    slopes = [
+        measure_in_flight((50, 200, 800), workers=136),
+        measure_requests((100, 200, 400), workers=34, keyed=False),
+        measure_requests((100, 200, 400), workers=34, keyed=True),
+        starts,
+    ]
+    key = measure_key_record(50)
+    calls = measure_table_calls((8, 24, 72), tasks_per_shard=30)
+    lines = [*report.slope_table(slopes), "", *report.store_lines(key, start)]
+    lines += ["", *report.calls_table(calls)]
+    figures = {
+        "slopes": _slopes(slopes),
+        "key_record": key._asdict(),
+        "start": start._asdict(),
+        "table_calls": [call._asdict() for call in calls],
+    }
+    return Part(figures, lines)
+
+
+def run_wire(seed: int, runs: int) -> Part:
+    """Count messages and bytes."""
+    costs = asyncio.run(measure_wire(SESSIONS, SHARDS, FLEETS))
+    return Part([cost._asdict() for cost in costs], report.wire_table(costs))
+
+
+def run_decisions(seed: int, runs: int) -> Part:
+    """Time the decisions."""
+    decisions = measure_decisions(FLEETS, 400, seed)
+    return Part([d._asdict() for d in decisions], report.decision_table(decisions))
+
+
+def _slopes(slopes: Any) -> list[dict[str, Any]]:
+    return [
+        {
+            "name": slope.name,
+            "bytes_each": slope.bytes_each,
+            "us_each": slope.us_each,
+            "points": [point._asdict() for point in slope.points],
+        }
+        for slope in slopes
+    ]
+
+
+PARTS: dict[str, Callable[[int, int], Part]] = {
+    "entry": run_entry,
+    "idle": run_idle,
+    "state": run_state,
+    "flow": run_flow,
+    "wire": run_wire,
+    "decisions": run_decisions,
+}
+
+
+@click.command()
+@click.option("--seed", default=1, show_default=True, help="Seed of bodies and draws.")
+@click.option("--runs", default=3, show_default=True, help="Runs of the entry path.")
+@click.option(
+    "--only", type=click.Choice(list(PARTS)), multiple=True, help="Run only this part."
+)
+@click.option(
+    "--output",
+    type=click.Path(dir_okay=False, path_type=Path),
+    default=Path("build/benchmarks.json"),
+    show_default=True,
+    help="File for all figures.",
+)
+def main(seed: int, runs: int, only: tuple[str, ...], output: Path) -> None:
+    """Measure the entry path, memory, slopes and decisions."""
+    # The processes of a benchmark end with it when it is stopped by a time limit.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(1))
+    data: dict[str, Any] = {
+        "date": time.strftime("%Y-%m-%d"),
+        "seed": seed,
+        "cores": os.cpu_count(),
+        "memory_gb": round(MEMORY_BYTES / 1_073_741_824, 1),
+        "load_average_before": os.getloadavg(),
+    }
+    for name in only or PARTS:
+        started_s = time.monotonic()
+        part = PARTS[name](seed, runs)
+        data[name] = part.figures
+        click.echo(f"\n## {name} ({time.monotonic() - started_s:.0f} s)\n")
+        click.echo("\n".join(part.lines))
+    data["load_average_after"] = os.getloadavg()
+    output.parent.mkdir(parents=True, exist_ok=True)
+    output.write_text(json.dumps(data, indent=1))
+    click.echo(f"\nAll figures: {output}")
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/benchmarks/decisions.py
@@ -0,0 +1,160 @@
+"""Time of each routing and placement decision in a fleet of a given size."""
+
+import random
+from collections.abc import Sequence
+from typing import Any, NamedTuple
+
+from benchmarks.slopes import spent_us
+from hyssopweir.fleet import Worker
+from hyssopweir.invariants import Invariants
+from hyssopweir.placement import Candidate, Demand, choose
+from hyssopweir.routing import ShardRouter, choose_worker
+from hyssopweir.slots import SlotLedger
+from tests.builders import build_log, build_workers
+from tests.fakes import FakeNetwork, FakePeers
+from tests.virtual_time import VirtualClock, run_virtual
+
+DATA_CENTRES = 9
+INSTANCES = 24
+DEMAND = Demand(4.0, 16.0)
+# No worker is as large, so the whole fleet is searched.
+TOO_LARGE = Demand(10_000.0, 16.0)
+
+
+class Decision(NamedTuple):
+    """Hold the time of one decision by the number of workers in the fleet."""
+
+    name: str
+    us: dict[int, float]
+
+
+def build_fleet(count: int) -> list[Worker]:
+    """Return workers in racks of 8, spread over the data centres."""
+    workers: list[Worker] = []
+    for number in range(DATA_CENTRES):
+        share = count // DATA_CENTRES + (number < count % DATA_CENTRES)
+        workers += build_workers(share, f"dc-{number}")
+    return workers
+
+
+def measure_decisions(counts: Sequence[int], repeats: int, seed: int) -> list[Decision]:
+    """Measure every decision ``repeats`` times at each fleet size."""
+    kinds: dict[str, Any] = {
+        "rank all shards, at most every 100 ms": _rank,
+        "choose a shard, ranking known": _choose_shard,
+        "choose a worker of a shard": _choose_worker,
+        "place a task in a shard": _place,
+        "find that no worker can run a task": _place_impossible,
+    }
+    return [
+        Decision(
+            name,
+            {count: measure(build_fleet(count), repeats, seed) for count in counts},
+        )
+        for name, measure in kinds.items()
+    ]
+
+
+class Owners:
+    """Spread the shards over the sessions of ``INSTANCES`` instances."""
+
+    def __init__(self, workers: list[Worker]) -> None:
+        self._shards = sorted({worker.shard for worker in workers})
+        self._owners = {
+            shard: f"session-{number % INSTANCES}"
+            for number, shard in enumerate(self._shards)
+        }
+
+    def shards(self) -> list[str]:
+        return list(self._shards)
+
+    def owner_of(self, shard: str) -> str | None:
+        return self._owners.get(shard)
+
+
+class OneSession:
+    session = "session-0"
+
+
+def _router(workers: list[Worker], seed: int) -> ShardRouter:
+    clock = VirtualClock()
+    owners = Owners(workers)
+    network = FakeNetwork(clock)
+    for number in range(INSTANCES):
+        FakePeers(network, f"session-{number}")
+    links = {f"dc-{number}": 5.0 for number in range(1, DATA_CENTRES)}
+    return ShardRouter(
+        OneSession(),
+        "dc-0",
+        links,
+        owners,
+        owners,
+        network.nodes["session-0"],
+        lambda: {"shards": {}},
+        clock,
+        random.Random(seed),
+    )
+
+
+def _rank(workers: list[Worker], repeats: int, seed: int) -> float:
+    router = _router(workers, seed)
+
+    async def run() -> float:
+        def act(_: int) -> None:
+            router.changed()
+            router.candidates(0)
+
+        return spent_us(act, 1, repeats)
+
+    return run_virtual(run())
+
+
+def _choose_shard(workers: list[Worker], repeats: int, seed: int) -> float:
+    router = _router(workers, seed)
+
+    async def run() -> float:
+        router.candidates(0)
+        return spent_us(lambda _: router.candidates(0), 1, repeats)
+
+    return run_virtual(run())
+
+
+def _choose_worker(workers: list[Worker], repeats: int, seed: int) -> float:
+    clock = VirtualClock()
+    ledger = SlotLedger(Invariants(clock, build_log(clock)), 2)
+    for worker in workers:
+        ledger.open_worker(worker)
+        ledger.confirm(worker.worker_id, ())
+    runs = iter(range(10**9))
+
+    def act(_: int) -> None:
+        chosen = choose_worker(ledger, workers[0].shard, lambda worker_id: True)
+        run_id = str(next(runs))
+        ledger.take(str(chosen), run_id, is_task=False)
+        ledger.release(str(chosen), run_id)
+
+    return spent_us(act, 1, repeats)
+
+
+def _candidates(workers: list[Worker]) -> list[Candidate]:
+    shard = workers[0].shard
+    return [
+        Candidate(worker, worker.cores, worker.memory_gb, 0, worker.slots)
+        for worker in workers
+        if worker.shard == shard
+    ]
+
+
+def _place(workers: list[Worker], repeats: int, seed: int) -> float:
+    candidates = _candidates(workers)
+    known = {worker.worker_id: worker for worker in workers}
+    # The copy of the fleet is a part of each decision of ``TaskQueue``.
+    return spent_us(
+        lambda _: choose(DEMAND, candidates, (), list(known.values())), 1, repeats
+    )
+
+
+def _place_impossible(workers: list[Worker], repeats: int, seed: int) -> float:
+    candidates = _candidates(workers)
+    few = max(repeats // 20, 1)
+    return spent_us(lambda _: choose(TOO_LARGE, candidates, (), workers), 1, few)
--- /dev/null
+++ b/benchmarks/load.py
@@ -0,0 +1,134 @@
+"""Load tool: a closed loop of aiohttp clients against instances or workers."""
+
+import asyncio
+import base64
+import json
+import random
+import sys
+import time
+from pathlib import Path
+from typing import Any, TypedDict
+
+import aiohttp
+
+EPOCH = 1
+DEADLINE_MS = 10_000
+
+
+class Plan(TypedDict):
+    """Describe a load; ``targets`` are workers if ``kind`` is ``worker``."""
+
+    kind: str
+    targets: list[str]
+    service: str
+    concurrency: int
+    requests: int
+    limit_s: float
+    body_bytes: int
+    seed: int
+
+
+class Figures(TypedDict):
+    """Hold what was measured; latencies in ms."""
+
+    requests: int
+    failed: int
+    seconds: float
+    cpu_s: float
+    p50_ms: float
+    p99_ms: float
+
+
+class Caller:
+    """Send one request after another and check each answer."""
+
+    def __init__(self, plan: Plan, number: int, session: aiohttp.ClientSession) -> None:
+        self._plan = plan
+        self._session = session
+        self._target = plan["targets"][number % len(plan["targets"])]
+        self._name = f"load-{plan['seed']}-{number}"
+        rng = random.Random(plan["seed"] * 1_000 + number)
+        self._body = rng.randbytes(plan["body_bytes"])
+        self._expected = plan["service"].encode() + b" answers " + self._body
+        self._fence: dict[str, Any] = {}
+        self._sent = 0
+
+    async def open(self) -> None:
+        """Claim the worker, so that it takes requests of this caller."""
+        if self._plan["kind"] == "worker":
+            reply = await self._post("/v1/claim", json.dumps({"epoch": EPOCH}).encode())
+            incarnation = json.loads(reply)["incarnation"]
+            self._fence = {"epoch": EPOCH, "incarnation": incarnation}
+
+    async def send(self) -> bool:
+        """Send a request; return whether the answer is the expected one."""
+        self._sent += 1
+        if self._plan["kind"] == "worker":
+            return await self._send_to_worker()
+        path = f"/v1/requests/{self._plan['service']}"
+        return await self._post(path, self._body) == self._expected
+
+    async def _send_to_worker(self) -> bool:
+        name = f"{self._name}-{self._sent}"
+        run = {
+            "run_id": f"{name}#1",
+            "request_id": name,
+            "service": self._plan["service"],
+            "body": base64.b64encode(self._body).decode(),
+            "deadline_ms": DEADLINE_MS,
+        }
+        text = json.dumps({"fence": self._fence, "run": run}).encode()
+        report = json.loads(await self._post("/v1/execute", text))
+        return base64.b64decode(report.get("answer") or "") == self._expected
+
+    async def _post(self, path: str, body: bytes) -> bytes:
+        async with self._session.post(self._target + path, data=body) as response:
+            return await response.read()
+
+
+async def run_plan(plan: Plan) -> Figures:
+    """Send the requests of a plan; stop early at its time limit."""
+    latencies_ms: list[float] = []
+    failed = 0
+    left = plan["requests"]
+    connector = aiohttp.TCPConnector(limit=0)
+    async with aiohttp.ClientSession(connector=connector) as session:
+        callers = [Caller(plan, n, session) for n in range(plan["concurrency"])]
+        for caller in callers:
+            await caller.open()
+        started_s, cpu_s = time.monotonic(), time.process_time()
+        end_s = started_s + plan["limit_s"]
+
+        async def call_on(caller: Caller) -> None:
+            nonlocal left, failed
+            while left > 0 and time.monotonic() < end_s:
+                left -= 1
+                sent_s = time.perf_counter()
+                failed += not await caller.send()
+                latencies_ms.append((time.perf_counter() - sent_s) * 1_000)
+
+        await asyncio.gather(*(call_on(caller) for caller in callers))
+        return {
+            "requests": len(latencies_ms),
+            "failed": failed,
+            "seconds": time.monotonic() - started_s,
+            "cpu_s": time.process_time() - cpu_s,
+            "p50_ms": percentile(latencies_ms, 50),
+            "p99_ms": percentile(latencies_ms, 99),
+        }
+
+
+def percentile(values: list[float], percent: int) -> float:
+    """Return the nearest-rank percentile."""
+    ordered = sorted(values)
+    rank = max(-(-len(ordered) * percent // 100), 1)
+    return ordered[rank - 1]
+
+
+def main() -> None:
+    plan: Plan = json.loads(Path(sys.argv[1]).read_text())
+    print(json.dumps(asyncio.run(run_plan(plan))))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/benchmarks/processes.py
@@ -0,0 +1,206 @@
+"""Processes of a benchmark: start, processor time, memory and end by id."""
+
+import json
+import os
+import socket
+import subprocess
+import sys
+from collections.abc import Iterator
+from contextlib import contextmanager
+from pathlib import Path
+from typing import Any, NamedTuple
+
+from tests.builders import build_settings_data
+from tests.processes import free_ports, http, wait_until
+
+TICKS_PER_S = os.sysconf("SC_CLK_TCK")
+OWNER_DATA_CENTRE = "kista"
+OTHER_DATA_CENTRE = "huddinge"
+LOCAL = "127.0.0.1"
+LOAD_GRACE_S = 10.0
+# Below the range from which the system takes the ports of outgoing connections.
+FIRST_PORT, LAST_PORT = 20_000, 23_900
+
+
+class Usage(NamedTuple):
+    """Hold the processor time (s) and resident memory (bytes) of a process."""
+
+    cpu_s: float
+    rss_bytes: int
+
+
+def usage_of(pid: int) -> Usage:
+    """Read the usage of a process that this benchmark started."""
+    stat = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+    pages = int(Path(f"/proc/{pid}/statm").read_text().split()[1])
+    return Usage(
+        (int(stat[11]) + int(stat[12])) / TICKS_PER_S,
+        pages * os.sysconf("SC_PAGE_SIZE"),
+    )
+
+
+def port_range(count: int) -> int:
+    """Return the first of ``count`` successive ports that are free now."""
+    for first in range(FIRST_PORT, LAST_PORT, count):
+        holders = [socket.socket() for _ in range(count)]
+        try:
+            for offset, holder in enumerate(holders):
+                holder.bind((LOCAL, first + offset))
+            return first
+        except OSError:
+            continue
+        finally:
+            for holder in holders:
+                holder.close()
+    raise RuntimeError("no free range of ports")
+
+
+class Site:
+    """Hold a stand-in platform, its workers and up to two entry instances.
+
+    The instance ``owner`` is in the workers' data centre and owns all shards;
+    ``receiver`` is in another data centre and forwards everything to it.
+    """
+
+    def __init__(self, folder: Path, workers: int, services: dict[str, int]) -> None:
+        self.folder = folder
+        self.workers = workers
+        self.services = services
+        self.platform, self.control, *rest = free_ports(6)
+        self.callers = {"owner": rest[0], "receiver": rest[1]}
+        self.peers = {"owner": rest[2], "receiver": rest[3]}
+        self.first_port = 0
+        self._processes: dict[str, subprocess.Popen[bytes]] = {}
+
+    def start_platform(self) -> None:
+        self.first_port = port_range(self.workers)
+        path = self._write_fleet("fleet", self.first_port)
+        self._start("workers", "standin", path, "--parts", "workers")
+        self._start("platform", "standin", path, "--parts", "platform")
+
+    def start_direct_workers(self, workers: int) -> int:
+        """Start workers that no instance knows; return their first port."""
+        first = port_range(workers)
+        path = self._write_fleet("direct", first, workers)
+        self._start("direct", "standin", path, "--parts", "workers")
+        return first
+
+    def start_instance(self, name: str) -> None:
+        cfg = build_settings_data(
+            instance=name,
+            data_centre=OWNER_DATA_CENTRE if name == "owner" else OTHER_DATA_CENTRE,
+            callers={"host": LOCAL, "port": self.callers[name]},
+            peers={"host": LOCAL, "port": self.peers[name]},
+            platform={"host": LOCAL, "port": self.platform},
+            links={OWNER_DATA_CENTRE: 1.0} if name != "owner" else {},
+        )
+        path = self.folder / f"{name}.json"
+        path.write_text(json.dumps(cfg))
+        self._start(name, "serve", str(path))
+        wait_until(
+            lambda: http("GET", self.url(name, "/v1/health/ready")).status == 200,
+            f"{name} is ready",
+        )
+
+    def wait_claimed(self) -> None:
+        """Wait until the owner has claimed every worker."""
+
+        def is_claimed() -> bool:
+            view = http("GET", self.url("owner", "/v1/workers")).json()["workers"]
+            owned = all(row["in_flight"] is not None for row in view)
+            return len(view) == self.workers and owned
+
+        wait_until(is_claimed, "every worker is owned")
+
+    def configure(self) -> None:
+        url = self.url("owner", "/v1/configuration")
+        shown = http("GET", url).json()
+        body = {
+            **shown["body"],
+            "services": {name: {"idempotent": True} for name in self.services},
+        }
+        text = json.dumps({"version": shown["version"], "body": body}).encode()
+        reply = http("PUT", url, text)
+        if reply.status != 200:
+            raise RuntimeError(f"configuration refused: {reply.body!r}")
+
+    def url(self, name: str, path: str) -> str:
+        return f"http://{LOCAL}:{self.callers[name]}{path}"
+
+    def usage(self, name: str) -> Usage:
+        return usage_of(self._processes[name].pid)
+
+    def close(self) -> None:
+        """End all processes at once; a planned stop would wait for a successor."""
+        for process in self._processes.values():
+            process.kill()
+        for process in self._processes.values():
+            process.wait()
+
+    def _start(self, name: str, *arguments: str) -> None:
+        with (self.folder / f"{name}.log").open("ab") as log:
+            self._processes[name] = subprocess.Popen(
+                [sys.executable, "-m", "hyssopweir", *arguments],
+                stderr=log,
+                stdout=log,
+                start_new_session=True,
+            )
+
+    def _write_fleet(self, name: str, first: int, workers: int | None = None) -> str:
+        ports = free_ports(3)
+        shared = name == "fleet"
+        fleet = {
+            "name": name,
+            "platform": {"host": LOCAL, "port": self.platform if shared else ports[0]},
+            "platform_control": {
+                "host": LOCAL,
+                "port": self.control if shared else ports[1],
+            },
+            "workers_control": {"host": LOCAL, "port": ports[2]},
+            "services": {
+                service: {"run_ms": run_ms} for service, run_ms in self.services.items()
+            },
+            "data_centres": [
+                {
+                    "name": OWNER_DATA_CENTRE,
+                    "links": {},
+                    "workers": workers or self.workers,
+                    "first_port": first,
+                    "host": LOCAL,
+                    "cores": 32,
+                    "memory_gb": 125,
+                }
+            ],
+        }
+        path = self.folder / f"{name}.json"
+        path.write_text(json.dumps(fleet))
+        return str(path)
+
+
+@contextmanager
+def running_site(
+    folder: Path, workers: int, services: dict[str, int]
+) -> Iterator[Site]:
+    """Run the platform and the owning instance; end all processes at the end."""
+    site = Site(folder, workers, services)
+    try:
+        site.start_platform()
+        site.start_instance("owner")
+        site.wait_claimed()
+        yield site
+    finally:
+        site.close()
+
+
+def run_load(folder: Path, plan: dict[str, Any], limit_s: float) -> dict[str, Any]:
+    """Run the load tool in a process of its own and return its figures."""
+    path = folder / "load.json"
+    path.write_text(json.dumps(plan))
+    done = subprocess.run(
+        [sys.executable, "-m", "benchmarks.load", str(path)],
+        capture_output=True,
+        timeout=limit_s + LOAD_GRACE_S,
+        check=True,
+    )
+    figures: dict[str, Any] = json.loads(done.stdout)
+    return figures
--- /dev/null
+++ b/benchmarks/report.py
@@ -0,0 +1,172 @@
+"""Tables of the measurements, in Markdown."""
+
+from collections.abc import Iterable, Sequence
+
+from benchmarks.decisions import Decision
+from benchmarks.entry_path import (
+    PATHS,
+    SERVICES,
+    EntryFigures,
+    Measurement,
+    Summary,
+    summarize,
+)
+from benchmarks.flow import KeyRecordCost, StartCost, TableCalls
+from benchmarks.instances import IdleCost
+from benchmarks.slopes import Slope
+from benchmarks.wire import WireCost
+
+MB = 1_048_576
+
+
+def table(head: Sequence[str], rows: Iterable[Sequence[str]]) -> list[str]:
+    """Return the lines of a Markdown table."""
+    lines = [head, ["---"] * len(head), *rows]
+    return ["| " + " | ".join(cells) + " |" for cells in lines]
+
+
+def entry_tables(figures: EntryFigures) -> list[str]:
+    """Return the path of a request: median (least to most) over the runs."""
+    head = (
+        "service, concurrency",
+        "path",
+        "requests/s",
+        "requests/s per core",
+        "p50 ms",
+        "p99 ms",
+        "per-core ratio to direct",
+        "p50 ratio to direct",
+        "cpu ms of each process for a request",
+        "failed",
+    )
+    rows = [
+        _entry_row(figures.measurements, service, concurrency, path)
+        for service in SERVICES
+        for concurrency in sorted({m.concurrency for m in figures.measurements})
+        for path in PATHS
+    ]
+    memory = [
+        (name, f"{figures.idle_rss[name] / MB:.1f}", f"{loaded / MB:.1f}")
+        for name, loaded in figures.loaded_rss.items()
+    ]
+    return [
+        *table(head, rows),
+        "",
+        *table(("instance", "RSS before the load, MB", "RSS after, MB"), memory),
+    ]
+
+
+def _entry_row(
+    measurements: Sequence[Measurement], service: str, concurrency: int, path: str
+) -> tuple[str, ...]:
+    def of(name: str) -> list[Measurement]:
+        wanted = (service, concurrency, name)
+        return [m for m in measurements if (m.service, m.concurrency, m.path) == wanted]
+
+    runs, direct = of(path), of("direct")
+    pairs = list(zip(runs, direct, strict=True))
+    cpu = ", ".join(
+        f"{name} {summarize([m.cpu_ms[name] for m in runs]).middle:.2f}"
+        for name in PATHS[path]
+    )
+    return (
+        f"{service}, {concurrency}",
+        path,
+        _spread([m.per_s for m in runs], 0),
+        _spread([m.per_core_s for m in runs], 0),
+        _spread([m.p50_ms for m in runs], 1),
+        _spread([m.p99_ms for m in runs], 1),
+        _spread([a.per_core_s / b.per_core_s for a, b in pairs if b.per_core_s], 2),
+        _spread([a.p50_ms / b.p50_ms for a, b in pairs], 1),
+        cpu,
+        str(sum(m.failed for m in runs)),
+    )
+
+
+def _spread(values: list[float], digits: int) -> str:
+    if not values:
+        return "-"
+    figures: Summary = summarize(values)
+    texts = [f"{value:,.{digits}f}" for value in figures]
+    return f"{texts[0]} ({texts[1]} to {texts[2]})"
+
+
+def slope_table(slopes: Iterable[Slope]) -> list[str]:
+    """Return the cost of one more item, and the points behind it."""
+    rows = [
+        (
+            slope.name,
+            f"{slope.bytes_each:,.0f}",
+            f"{slope.us_each:,.2f}",
+            "; ".join(f"{p.count:,}: {p.bytes:,} B, {p.us:,.0f}" for p in slope.points),
+        )
+        for slope in slopes
+    ]
+    return table(("item", "bytes each", "us each", "count: bytes, us"), rows)
+
+
+def wire_table(costs: Iterable[WireCost]) -> list[str]:
+    """Return the messages and bytes of each operation."""
+    rows = [
+        (cost.name, str(cost.messages), f"{cost.sent:,}", f"{cost.received:,}")
+        for cost in costs
+    ]
+    return table(("operation", "messages", "bytes sent", "bytes received"), rows)
+
+
+def decision_table(decisions: Sequence[Decision]) -> list[str]:
+    """Return microseconds by size of the fleet."""
+    sizes = list(decisions[0].us)
+    rows = [(d.name, *(f"{d.us[size]:,.0f}" for size in sizes)) for d in decisions]
+    return table(("decision", *(f"us at {size:,} workers" for size in sizes)), rows)
+
+
+def idle_table(costs: Iterable[IdleCost]) -> list[str]:
+    """Return the idle cost of a whole instance."""
+    rows = [
+        (
+            str(cost.workers),
+            *(f"{100 * share:.1f}" for share in cost.core_share.values()),
+            *(f"{size / MB:.1f}" for size in cost.rss_bytes.values()),
+        )
+        for cost in costs
+    ]
+    names = ("owner", "platform", "workers")
+    head = ("workers", *(f"{n}, % of a core" for n in names))
+    return table((*head, *(f"{n}, RSS MB" for n in names)), rows)
+
+
+def store_lines(key: KeyRecordCost, start: StartCost) -> list[str]:
+    """Return the calls of the table service for a key record and a task."""
+    return table(
+        ("item", "commits", "reads or rows written", "row, bytes"),
+        [
+            (
+                "key record",
+                f"{key.commits:.2f}",
+                f"{key.reads:.2f} reads",
+                f"{key.row_bytes}",
+            ),
+            (
+                "task, submission to end",
+                f"{start.commits:.3f}",
+                f"{start.rows_written:.2f} rows",
+                "-",
+            ),
+        ],
+    )
+
+
+def calls_table(calls: Iterable[TableCalls]) -> list[str]:
+    """Return the calls of the table service at rest."""
+    rows = [
+        (
+            str(call.workers),
+            str(call.shards),
+            str(call.tasks),
+            f"{call.reads_s:.1f}",
+            f"{call.commits_s:.1f}",
+        )
+        for call in calls
+    ]
+    return table(("workers", "shards", "tasks", "reads/s", "commits/s"), rows)
