--- a/hyssopweir/task_shards.py
+++ b/hyssopweir/task_shards.py
@@ -45,12 +45,14 @@
         free_slots: FreeSlots,
         quotas: TeamQuotas,
         on_moved: Callable[[str], None],
+        holds_job: Callable[[str], bool],
     ) -> None:
         self.shard = shard
         self.epoch = epoch
         self.records = TaskRecords(parts, shard, epoch)
         self._parts = parts
         self._placed = placed
+        self._holds_job = holds_job
         self._settler = RunSettler(parts, self.records, placed)
         self._evictions = Evictions(parts, self.records, self._settler)
         self._queue = TaskQueue(
@@ -280,13 +282,13 @@
             self._signal.set()
 
     def _note_end(self, entry: Entry) -> None:
-        """Log the end of a job with the last of its tasks in this shard.
+        """Log the end of a job with the last of its tasks at this instance.
 
         Each owner looks after its last task has ended, so that at least one of them
         finds that all have.
         """
         job = entry.row["job"]
-        if entry.state in FINAL_TASK_STATES and not self.records.has_tasks_of(job):
+        if entry.state in FINAL_TASK_STATES and not self._holds_job(job):
             self._in_background(self._log_job_end(job))
 
     async def _log_job_end(self, job: str) -> None:
--- a/hyssopweir/tasks.py
+++ b/hyssopweir/tasks.py
@@ -73,6 +73,7 @@
             self._free_slots,
             self._quotas,
             self._announce,
+            self._holds_job,
         )
         self._shards[shard] = tasks
         self._loops[shard] = asyncio.ensure_future(tasks.run())
@@ -131,6 +132,9 @@
         for shard in list(self._shards):
             self.shard_lost(shard)
 
+    def _holds_job(self, job: str) -> bool:
+        return any(tasks.records.has_tasks_of(job) for tasks in self._shards.values())
+
     def _announce(self, shard: str) -> None:
         self.wake(shard)
         self._peers.broadcast("queue_changed", {"shards": [shard]})
--- a/hyssopweir/team_quotas.py
+++ b/hyssopweir/team_quotas.py
@@ -3,7 +3,7 @@
 import asyncio
 import contextlib
 import random
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from typing import Any, NamedTuple, Protocol, TypedDict, cast
 
 from result import Err, Ok
@@ -56,6 +56,27 @@
     wanted: int
 
 
+class Room:
+    """Follow how the slots of a team are divided.
+
+    ``fair`` is the share of each shard that uses or wants slots, rounded down, and
+    ``starving`` holds the waiting shards that have less.
+    """
+
+    def __init__(self, quota: int, granted: int, fair: int, starving: set[str]) -> None:
+        self.quota = quota
+        self.granted = granted
+        self.fair = fair
+        self.starving = starving
+
+    def give(self, shard: str, count: int, grants: dict[str, int]) -> None:
+        """Change the grant of a shard."""
+        self.granted += count - grants.get(shard, 0)
+        grants[shard] = count
+        if count >= max(self.fair, 1):
+            self.starving.discard(shard)
+
+
 class Change(NamedTuple):
     """Hold a team's new row, and the epochs of the shards that it may be used for.
 
@@ -280,10 +301,12 @@
         needs = self._needs(team, own, grants)
         wanting = {shard for shard, need in needs.items() if need.wanted}
         waiting = (set(known["waiting"]) - set(own)) | wanting
+        room = _room(quota, grants, waiting)
         for shard, need in needs.items():
-            self._keep(team, shard, need, quota, grants, waiting)
+            self._keep(team, shard, need, grants, room)
+        room = _room(quota, grants, waiting)
         for shard in sorted(wanting, key=lambda name: (grants[name], name)):
-            self._raise(team, shard, needs[shard], quota, grants, waiting)
+            self._raise(team, shard, needs[shard], grants, room)
         met = {shard for shard in wanting if grants[shard] >= sum(needs[shard])}
         return {
             "grants": {shard: count for shard, count in grants.items() if count},
@@ -313,15 +336,13 @@
         team: str,
         shard: str,
         need: Need,
-        quota: int,
         grants: dict[str, int],
-        waiting: set[str],
+        room: Room,
     ) -> None:
         """Give back what a shard does not need, or has beyond its fair share."""
         key, now_ms = (shard, team), self._clock.now_ms()
         granted = grants.get(shard, 0)
-        fair = _fair_share(quota, grants, waiting)
-        starving = _starving(waiting - {shard}, grants, fair)
+        fair, starving = room.fair, bool(room.starving - {shard})
         self._caps.pop(key, None)
         if not granted:
             self._turn_since_ms.pop(key, None)
@@ -333,42 +354,37 @@
             self._used_ms[key] = now_ms
         elif starving or now_ms - self._used_ms.setdefault(key, now_ms) > KEEP_MS:
             granted = sum(need)
-        excess = max(sum(grants.values()) - quota, 0)
+        excess = max(room.granted - room.quota, 0)
         granted = min(granted, max(granted - excess, fair))
         if granted < need.live:
             # Without the cap each slot would be used again as soon as it is free.
             self._caps[key] = granted
-        grants[shard] = max(need.live, granted)
+        room.give(shard, max(need.live, granted), grants)
 
     def _raise(
         self,
         team: str,
         shard: str,
         need: Need,
-        quota: int,
         grants: dict[str, int],
-        waiting: set[str],
+        room: Room,
     ) -> None:
         """Raise the grant of a shard as far as slots are left."""
         if self._yield_until_ms.get((shard, team), 0) > self._clock.now_ms():
             return
-        fair = _fair_share(quota, grants, waiting)
         limit = sum(need)
-        if _starving(waiting - {shard}, grants, fair):
-            limit = min(limit, max(fair, 1))
-        left = quota - sum(grants.values())
-        grants[shard] += max(min(limit - grants[shard], left), 0)
-
-
-def _fair_share(quota: int, grants: dict[str, int], waiting: set[str]) -> int:
-    """Return the slots of each shard that uses or wants some, rounded down."""
-    claimants = {*waiting, *(shard for shard, count in grants.items() if count)}
-    return quota // max(len(claimants), 1)
-
-
-def _starving(waiting: Iterable[str], grants: dict[str, int], fair: int) -> set[str]:
-    """Return the waiting shards that have less than their share."""
-    return {shard for shard in waiting if grants.get(shard, 0) < max(fair, 1)}
+        if room.starving - {shard}:
+            limit = min(limit, max(room.fair, 1))
+        more = min(limit - grants[shard], room.quota - room.granted)
+        room.give(shard, grants[shard] + max(more, 0), grants)
+
+
+def _room(quota: int, grants: dict[str, int], waiting: set[str]) -> Room:
+    """Return how a quota is divided at the moment."""
+    claimants = len(waiting.union(shard for shard, count in grants.items() if count))
+    fair = quota // max(claimants, 1)
+    starving = {shard for shard in waiting if grants.get(shard, 0) < max(fair, 1)}
+    return Room(quota, sum(grants.values()), fair, starving)
 
 
 def _part(row: QuotaRow, shard: str) -> tuple[int, bool]:
--- a/tests/test_team_quotas.py
+++ b/tests/test_team_quotas.py
@@ -199,6 +199,9 @@
     async def scan(self, prefix: str) -> Result[list[Row], Failure]:
         return Ok(self.table.scan(prefix, "", 100))
 
+    async def read(self, key: str) -> Result[Row | None, Failure]:
+        return Ok(self.table.read(key))
+
     async def commit(self, operations: list[Operation]) -> Any:
         if self.holds_next:
             self.holds_next, self.held = False, operations
@@ -207,6 +210,8 @@
 
 
 class OneShard:
+    """Hold a shard as its owner, or a former owner, knows it."""
+
     def __init__(self) -> None:
         self.count, self.wants = 0, 0
 
@@ -251,3 +256,26 @@
         assert found.value["grants"] == {SHARD: 4}
 
     run_virtual(run())
+
+
+def test_former_owner_takes_no_grant_back() -> None:
+    """Guards against a grant that is lowered while the new owner uses it."""
+
+    async def run() -> None:
+        clock, store, shards = VirtualClock(), LateTable(), OneShard()
+        row = {"owner": "two", "epoch": 2}
+        grants = {"grants": {SHARD: 4}, "waiting": []}
+        puts = [Put(f"shards/{SHARD}", row, ABSENT)]
+        puts.append(Put(PREFIX + "buyers", grants, ABSENT))
+        assert store.table.commit(puts, "").is_ok()
+        quotas = TeamQuotas(
+            cast(TableStore, store), lambda _: 4, shards, clock, build_log(clock)
+        )
+        for _ in range(3):
+            await quotas.refresh()
+            await clock.sleep_ms(3_000)
+        found = store.table.read(PREFIX + "buyers")
+        assert found is not None
+        assert found.value == grants
+
+    run_virtual(run())
