--- a/hyssopweir/platform_client.py
+++ b/hyssopweir/platform_client.py
@@ -30,6 +30,7 @@
 
 OK_STATUS = 200
 NO_CONTENT = 204
+NOT_MODIFIED = 304
 BAD_REQUEST = 400
 MISSING = 404
 CONFLICT = 409
@@ -38,10 +39,11 @@
 
 
 class Reply(NamedTuple):
-    """Hold a whole HTTP reply."""
+    """Hold a whole HTTP reply; ``tag`` is its entity tag, empty if it has none."""
 
     status: int
     body: bytes
+    tag: str = ""
 
 
 class Breakdown(Enum):
@@ -98,6 +100,7 @@
     body: bytes | None = None,
     query: Mapping[str, str] | None = None,
     limit: int = MOST_REPLY_BYTES,
+    headers: Mapping[str, str] | None = None,
 ) -> Result[Reply, ExchangeError]:
     """Send a request and read the whole reply of at most ``limit`` bytes."""
     progress = Progress()
@@ -112,6 +115,7 @@
                 url,
                 # aiohttp sends a stream in chunks, but bytes in one write.
                 data=None if body is None else BytesIO(body),
+                headers=headers,
                 allow_redirects=False,
                 trace_request_ctx=progress,
             ) as response,
@@ -135,7 +139,8 @@
             if len(body) > limit:
                 break
         else:
-            return Ok(Reply(response.status, bytes(body)))
+            tag = response.headers.get("ETag", "")
+            return Ok(Reply(response.status, bytes(body), tag))
     response.close()
     detail = f"more than {limit} bytes"
     return Err(ExchangeError(Breakdown.TOO_LARGE, detail, response.status))
@@ -194,6 +199,7 @@
         body: bytes | None = None,
         query: Mapping[str, str] | None = None,
         limit: int = MOST_REPLY_BYTES,
+        headers: Mapping[str, str] | None = None,
     ) -> Result[Reply, ExchangeError]:
         """Send a request and read the whole reply."""
         # A session can only be made while the event loop runs.
@@ -208,6 +214,7 @@
             body,
             query,
             limit,
+            headers,
         )
 
 
@@ -319,18 +326,30 @@
 
 
 class HttpInstanceList:
-    """Implement ``InstanceList`` over HTTP and JSON."""
+    """Implement ``InstanceList`` over HTTP and JSON.
+
+    The list is read twice a second and seldom changes, so the read is conditional on
+    its entity tag; an unchanged list is not sent again.
+    """
 
     def __init__(self, http: HttpSession) -> None:
         self._http = http
+        self._tag = ""
+        self._listings: list[Listing] = []
 
     async def read(self) -> Result[list[Listing], Failure]:
         """Return all listed workers, or ``LIST_UNAVAILABLE``."""
-        reply = _check_read(await self._http.send("GET", "/v1/instances"))
+        headers = {"If-None-Match": self._tag} if self._tag else None
+        sent = await self._http.send("GET", "/v1/instances", headers=headers)
+        if self._tag and isinstance(sent, Ok) and sent.ok_value.status == NOT_MODIFIED:
+            return Ok(list(self._listings))
+        reply = _check_read(sent)
         if isinstance(reply, Err):
             return Err(not_run(Code.LIST_UNAVAILABLE, reply.err_value.detail))
         try:
-            return Ok(_read_listings(reply.ok_value))
+            self._listings = _read_listings(reply.ok_value)
+            self._tag = reply.ok_value.tag
+            return Ok(list(self._listings))
         except ValueError as exc:
             return Err(not_run(Code.LIST_UNAVAILABLE, f"unreadable list: {exc}"))
 
--- a/hyssopweir/standin_platform.py
+++ b/hyssopweir/standin_platform.py
@@ -4,6 +4,7 @@
 import random
 from collections import deque
 from typing import Any
+from uuid import uuid4
 
 from aiohttp import web
 from aiohttp.typedefs import Handler
@@ -18,6 +19,7 @@
     MISSING,
     MOST_OBJECT_BYTES,
     NO_CONTENT,
+    NOT_MODIFIED,
     UNAVAILABLE,
     field,
     from_json,
@@ -57,11 +59,15 @@
     def __init__(self, clock: Clock, lag_ms: Millis) -> None:
         self.lag_ms = lag_ms
         self._clock = clock
+        # A restarted list counts its changes anew and must not repeat a tag.
+        self._boot = uuid4().hex
+        self._changes = 0
         self._shown: dict[str, Listing] = {}
         self._pending: deque[tuple[Millis, str, Listing | None]] = deque()
 
     def show(self, listing: Listing) -> None:
         """Show a worker at once."""
+        self._changes += 1
         self._shown[listing.worker.worker_id] = listing
 
     def change(self, worker_id: str, listing: Listing | None) -> None:
@@ -71,10 +77,15 @@
             due_ms = max(due_ms, self._pending[-1][0])
         self._pending.append((due_ms, worker_id, listing))
 
+    def tag(self) -> str:
+        """Return the entity tag of what the last read showed."""
+        return f'"{self._boot}-{self._changes}"'
+
     def read(self) -> list[Listing]:
         """Return what the list shows now."""
         while self._pending and self._pending[0][0] <= self._clock.now_ms():
             _, worker_id, listing = self._pending.popleft()
+            self._changes += 1
             if listing is None:
                 self._shown.pop(worker_id, None)
             else:
@@ -184,8 +195,12 @@
         return web.Response(body=body)
 
     async def _list(self, request: web.Request) -> web.Response:
-        rows = [listing_to_dict(listing) for listing in self.instances.read()]
-        return web.json_response({"workers": rows})
+        listings = self.instances.read()
+        tag = self.instances.tag()
+        if request.headers.get("If-None-Match") == tag:
+            return web.Response(status=NOT_MODIFIED, headers={"ETag": tag})
+        rows = [listing_to_dict(listing) for listing in listings]
+        return web.json_response({"workers": rows}, headers={"ETag": tag})
 
 
 def _page(rows: list[Row]) -> str:
--- a/hyssopweir/standin_workers.py
+++ b/hyssopweir/standin_workers.py
@@ -192,7 +192,8 @@
         self._boot()
 
     def kill(self) -> None:
-        """Lose all runs."""
+        """Lose all runs; end the watches, as a broken connection would."""
+        self._changed.set()
         for task in self._background:
             task.cancel()
         for run in list(self._runs.values()):
--- a/hyssopweir/worker_links.py
+++ b/hyssopweir/worker_links.py
@@ -22,6 +22,9 @@
 # No worker reports this revision, so a watch that carries it returns at once.
 NO_REVISION = -1
 
+# A worker without tasks has no lease to renew, and a change ends its watch at once.
+IDLE_WATCHES = 4
+
 InventoryHandler = Callable[[Worker, Inventory], None]
 RestartHandler = Callable[[Worker], None]
 
@@ -56,6 +59,7 @@
         self.read_at_ms: Millis = 0
         self.leaving = False
         self.reachable = True
+        self.has_tasks = False
         self.task: asyncio.Task[None] | None = None
 
 
@@ -235,7 +239,7 @@
             link.worker,
             fence,
             link.revision,
-            self._timing["watch_ms"],
+            self._timing["watch_ms"] * (1 if link.has_tasks else IDLE_WATCHES),
             lease_until_ms,
         )
 
@@ -263,6 +267,7 @@
         link.read_at_ms = self._clock.now_ms()
         link.revision = inventory.revision
         link.reachable = True
+        link.has_tasks = any(run.is_task for run in inventory.runs)
         link.leaving = link.leaving or inventory.leaving
         self._ledger.confirm(link.worker.worker_id, inventory.runs)
         for handler in self._inventory_handlers:
--- a/tests/test_platform_http.py
+++ b/tests/test_platform_http.py
@@ -329,8 +329,9 @@
             await site.control("POST", "list", {"lag_ms": 150})
             await site.control("POST", "workers/kista-w0/leave")
             await site.control("POST", "workers/kista-w1/kill")
-            early = (await site.list.read()).unwrap()
-            assert [entry.leaving for entry in early] == [False, False]
+            for _ in range(2):
+                early = (await site.list.read()).unwrap()
+                assert [entry.leaving for entry in early] == [False, False]
             await asyncio.sleep(0.2)
             (left,) = (await site.list.read()).unwrap()
             assert left.leaving
@@ -339,6 +340,30 @@
     asyncio.run(main())
 
 
+@pytest.mark.parametrize(
+    ("heads", "is_read"),
+    [(["", ""], [True, False]), (['ETag: "1"\r\n'] * 2, [True, True])],
+    ids=["list without a tag", "list with a tag"],
+)
+def test_unchanged_list_is_kept_only_if_it_had_a_tag(heads, is_read):
+    """Guards against an empty reply that is taken for an empty or an old list."""
+
+    async def main() -> None:
+        whole = http(b'{"workers": []}', head=heads[0])
+        unchanged = http(b"", "304 Not Modified", heads[1])
+        reads: list[bool] = []
+        listing = HttpInstanceList(HttpSession({"host": "127.0.0.1", "port": 1}, 500))
+        for reply in (whole, unchanged):
+            async with raw_server(reply) as port:
+                session = HttpSession({"host": "127.0.0.1", "port": port}, 500)
+                listing._http = session
+                reads.append((await listing.read()).is_ok())
+                await session.stop()
+        assert reads == is_read
+
+    asyncio.run(main())
+
+
 def test_worker_round_trip():
     """Guards against calls or reports that change on their way."""
 
