Split the two largest test files by subject

The worlds of the request and HTTP tests move to modules of their own, the tests of worker calls and worker links to files of their own.

--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -2,283 +2,31 @@
 
 import asyncio
 import random
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable
 from typing import Any
 
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
-from result import Err, Ok, Result
+from result import Err, Result
 
-from hyssopweir.clock import Millis
 from hyssopweir.codes import Code, Failure, Outcome, unknown
-from hyssopweir.contracts import Answer, KeyState, Request
-from hyssopweir.dispatch import Dispatcher
+from hyssopweir.contracts import KeyState
 from hyssopweir.events import Event
 from hyssopweir.fleet import Listing
-from hyssopweir.fleet_view import FleetView
-from hyssopweir.forwarding import Forwarder
-from hyssopweir.idempotency import INLINE_ANSWER_BYTES, KeyStore, row_name
-from hyssopweir.invariants import Invariants
+from hyssopweir.idempotency import INLINE_ANSWER_BYTES, row_name
 from hyssopweir.retries import Backoff, RetryBudget
-from hyssopweir.routing import ShardRouter, WorkerHealth
-from hyssopweir.slots import SlotLedger
-from hyssopweir.standin_table import StandinTable
-from hyssopweir.table import TableStore
-from hyssopweir.worker_links import WorkerLinks
+from hyssopweir.routing import WorkerHealth
 from tests.builders import (
-    build_listings,
-    build_log,
     build_request,
-    build_settings,
-    build_workers,
 )
-from tests.fakes import (
-    FakeFleet,
-    FakeInstanceList,
-    FakeNetwork,
-    FakeObjectStore,
-    FakePeers,
-    FakeTableService,
-    FakeWorkerClient,
+from tests.request_world import (
+    Reply,
+    World,
+    in_world,
+    is_not_run,
+    keyed,
 )
-from tests.virtual_time import VirtualClock, run_virtual
-
-TAKEOVER_MS: Millis = 5_600
-SLOW_MS: Millis = 60
-PRECONDITIONS = (Code.KEY_REUSED, Code.KEY_REQUIRED, Code.UNKNOWN_SERVICE)
-SERVICES = {
-    "price-check": {"idempotent": True},
-    "offer": {"idempotent": False},
-    "slow-offer": {"idempotent": False},
-}
-Reply = Result[Answer, Failure]
-
-
-class Owners:
-    """Stand in for membership and ownership of one instance."""
-
-    def __init__(self, world: "World", session: str) -> None:
-        self.world = world
-        self.session = session
-
-    def is_gone(self, session: str) -> bool:
-        return session in self.world.gone
-
-    def owner_of(self, shard: str) -> str | None:
-        return self.world.owners[shard][0] if shard in self.world.owners else None
-
-    def epoch_of(self, shard: str) -> int | None:
-        owner, epoch = self.world.owners.get(shard, ("", 0))
-        return epoch if owner == self.session else None
-
-    def owned(self) -> dict[str, int]:
-        return {
-            shard: epoch
-            for shard, (owner, epoch) in self.world.owners.items()
-            if owner == self.session
-        }
-
-    def lost(self, shard: str, epoch: int) -> None:
-        if self.epoch_of(shard) is None:
-            node = self.world.nodes[self.session]
-            node.links.shard_lost(shard)
-            node.dispatcher.shard_lost(shard)
-
-
-class Configuration:
-    body: dict[str, Any] = {"services": SERVICES}
-
-
-class Node:
-    """Assemble the request path of one instance."""
-
-    def __init__(self, world: "World", session: str, data_centre: str) -> None:
-        clock, cfg = world.clock, world.cfg
-        self.session, self.log = session, build_log(clock, session)
-        self.table = FakeTableService(world.table, clock, seed=len(world.nodes))
-        self.store = TableStore(self.table, clock, self.log)
-        self.keys = KeyStore(self.store, world.objects, self.log)
-        self.invariants = Invariants(clock, self.log)
-        self.ledger = SlotLedger(self.invariants, 2)
-        self.client = FakeWorkerClient(world.fleet, clock)
-        self.view = FleetView(world.listing, clock, self.log, 500)
-        self.peers = FakePeers(world.network, session)
-        owners = self.owners = Owners(world, session)
-        self.links = WorkerLinks(
-            self.view,
-            self.client,
-            self.ledger,
-            owners,
-            cfg["timing"],
-            clock,
-            self.log,
-        )
-        self.dispatcher = Dispatcher(
-            owners,
-            self.view,
-            owners,
-            self.links,
-            self.ledger,
-            self.keys,
-            self.client,
-            self.peers,
-            self.invariants,
-            cfg,
-            clock,
-            self.log,
-        )
-        self.router = ShardRouter(
-            owners,
-            data_centre,
-            {"huddinge": 3.5, "kista": 3.5},
-            self.view,
-            owners,
-            self.peers,
-            self.dispatcher.load,
-            clock,
-            random.Random(1),
-        )
-        self.peers.on_note("load", self.router.note_load)
-        self.forwarder = Forwarder(
-            owners,
-            owners,
-            Configuration(),
-            self.router,
-            self.dispatcher,
-            self.keys,
-            self.peers,
-            RetryBudget(100),
-            self.invariants,
-            clock,
-            self.log,
-        )
-        self.services = (self.view, self.links, self.dispatcher)
-
-    async def start(self) -> None:
-        await self.view.refresh()
-        for service in self.services:
-            await service.start()
-
-    async def kill(self) -> None:
-        self.table.down = True
-        self.client.cut.update(self.client.fleet.workers)
-        self.peers.disconnect()
-        for service in self.services:
-            await service.stop()
-
-
-class World:
-    """Hold the platform, three instances and the shards that two of them own."""
-
-    def __init__(self, workers: int = 2, **limits: int) -> None:
-        self.clock = VirtualClock()
-        self.cfg = build_settings(limits=limits)
-        self.workers = build_workers(workers) + build_workers(workers, "huddinge")
-        self.fleet = FakeFleet(self.workers, self.clock)
-        for worker in self.fleet.workers.values():
-            worker.service_ms = {"slow-offer": SLOW_MS}
-        self.listing = FakeInstanceList(build_listings(self.workers))
-        self.table = StandinTable()
-        self.objects = FakeObjectStore()
-        self.network = FakeNetwork(self.clock)
-        self.owners: dict[str, tuple[str, int]] = {}
-        self.gone: set[str] = set()
-        self.nodes: dict[str, Node] = {}
-        self.background: set[asyncio.Task[None]] = set()
-        for session, place in (("a", "kista"), ("b", "huddinge"), ("c", "kista")):
-            self.nodes[session] = Node(self, session, place)
-
-    async def start(self) -> "World":
-        for node in self.nodes.values():
-            await node.start()
-        self.give("kista/r0", "a")
-        self.give("huddinge/r0", "b")
-        await self.clock.sleep_ms(50)
-        return self
-
-    def give(self, shard: str, session: str) -> None:
-        former, epoch = self.owners.get(shard, (None, 0))
-        self.owners[shard] = (session, epoch + 1)
-        if former is not None and former not in self.gone:
-            self.nodes[former].links.shard_lost(shard)
-            self.nodes[former].dispatcher.shard_lost(shard)
-        self.nodes[session].links.shard_gained(shard, epoch + 1)
-
-    async def kill_owner(self, session: str, heir: str) -> None:
-        await self.nodes[session].kill()
-        await self.clock.sleep_ms(TAKEOVER_MS)
-        self.gone.add(session)
-        for shard, (owner, _) in list(self.owners.items()):
-            if owner == session:
-                self.give(shard, heir)
-
-    def later(self, delay_ms: Millis, act: Callable[[], Any]) -> None:
-        async def run() -> None:
-            await self.clock.sleep_ms(delay_ms)
-            result = act()
-            if asyncio.iscoroutine(result):
-                await result
-
-        task = asyncio.create_task(run())
-        self.background.add(task)
-        task.add_done_callback(self.background.discard)
-
-    async def send(self, session: str, req: Request, within_ms: Millis) -> Reply:
-        req = req._replace(expires_ms=self.clock.now_ms() + within_ms)
-        reply = await self.nodes[session].forwarder.handle(req)
-        if isinstance(reply, Ok):
-            assert reply.ok_value.request_id == req.request_id
-            assert reply.ok_value.body.endswith(b" answers " + req.body)
-        elif (
-            _is_not_run(reply) and reply.err_value.code not in PRECONDITIONS and req.key
-        ):
-            row = self.table.read(row_name(req.caller, req.key))
-            assert row is not None
-            assert row.value["state"] == KeyState.NOT_RUN
-        return reply
-
-    def runs(self, key: str) -> int:
-        return self.fleet.account.runs_of(f"planner/{key}")
-
-    def judge(self, key: str, *replies: Reply) -> None:
-        """Require at most one run, and that what callers were told is true."""
-        runs = self.runs(key)
-        assert runs <= 1
-        for reply in replies:
-            if isinstance(reply, Ok):
-                assert runs == 1
-        if replies and all(_is_not_run(reply) for reply in replies):
-            assert runs == 0
-
-    def end(self) -> None:
-        assert self.fleet.account.violations == []
-        assert [n.invariants.breaches for n in self.nodes.values()] == [0, 0, 0]
-        for node in self.nodes.values():
-            failed = [r for r in node.log if r.event is Event.BACKGROUND_TASK_FAILED]
-            assert failed == []
-
-
-def _is_not_run(reply: Reply) -> bool:
-    return isinstance(reply, Err) and reply.err_value.outcome is Outcome.NOT_RUN
-
-
-def keyed(number: int = 0, service: str = "slow-offer", **fields: Any) -> Request:
-    fields = {"key": f"k{number}", "service": service, "idempotent": False, **fields}
-    return build_request(number, **fields)
-
-
-def in_world(
-    story: Callable[[World], Awaitable[None]],
-    workers: int = 2,
-    **limits: int,
-) -> None:
-    async def main() -> None:
-        world = await World(workers, **limits).start()
-        await story(world)
-        world.end()
-
-    run_virtual(main())
 
 
 @pytest.mark.parametrize("kill_ms", range(0, 90, 4))
@@ -493,7 +241,7 @@
         await world.clock.sleep_ms(2_000)
         for n, reply in enumerate(replies):
             world.judge(f"k{n}", reply)
-        refused = [reply for reply in replies if _is_not_run(reply)]
+        refused = [reply for reply in replies if is_not_run(reply)]
         assert sum(reply.is_ok() for reply in replies) > 60
         assert len(refused) > count // 10
         load = world.nodes["a"].dispatcher.load()["shards"]["kista/r0"]
@@ -599,7 +347,7 @@
     async def story(world: World) -> None:
         reply = await world.send("c", build_request(0, **fields), 1_000)
         assert reply.unwrap_err().code is code
-        assert _is_not_run(reply)
+        assert is_not_run(reply)
         assert not world.fleet.account.request_runs
 
     in_world(story)
@@ -618,32 +366,6 @@
     in_world(story)
 
 
-def test_links_follow_restart_and_convert_leases() -> None:
-    """Guards against a lease that outlives its term after a restart or a long poll."""
-
-    async def story(world: World) -> None:
-        links, worker = world.nodes["a"].links, world.workers[0]
-        restarted: list[str] = []
-        links.on_restarted(lambda worker: restarted.append(worker.worker_id))
-        before = links.fence_of(worker.worker_id)
-        await world.clock.sleep_ms(1_000)
-        now_ms = world.clock.now_ms()
-        lease_until_ms = links.lease_until_ms(worker.worker_id)
-        assert lease_until_ms is not None
-        assert now_ms + 14_990 <= lease_until_ms <= now_ms + 15_000
-        assert links.lease_sent_until_ms(worker.worker_id) == now_ms + 15_000
-        world.fleet.restart(worker.worker_id)
-        await world.clock.sleep_ms(5_000)
-        assert restarted == [worker.worker_id]
-        assert links.fence_of(worker.worker_id) != before
-        world.listing.listings = world.listing.listings[1:]
-        await world.clock.sleep_ms(2_000)
-        assert links.fence_of(worker.worker_id) is None
-        assert links.held_since_ms("kista/r0") is not None
-
-    in_world(story)
-
-
 def test_worker_that_fails_everything_is_ejected_and_probed() -> None:
     """Guards against a broken worker that attracts requests by being idle."""
 
