--- a/hyssopweir/explain.py
+++ b/hyssopweir/explain.py
@@ -95,8 +95,8 @@
     text = f"Task {task['n']} {state}"
     if task["worker"]:
         text += f" on {task['worker']}"
-    text += f". It was started {_times(task['run'])}"
-    text += f" and evicted {_times(task['evictions'])}."
+    text += f". It was {_counted('started', task['run'])}"
+    text += f" and {_counted('evicted', task['evictions'])}."
     return {
         "n": task["n"],
         "state": task["state"],
@@ -106,8 +106,10 @@
     }
 
 
-def _times(count: int) -> str:
-    return {0: "never", 1: "once", 2: "twice"}.get(count, f"{count} times")
+def _counted(verb: str, count: int) -> str:
+    if count == 0:
+        return f"never {verb}"
+    return f"{verb} " + {1: "once", 2: "twice"}.get(count, f"{count} times")
 
 
 def _step(reason: Reason) -> dict[str, Any]:
