--- a/tests/system.py
+++ b/tests/system.py
@@ -5,6 +5,7 @@
 from collections import defaultdict
 from collections.abc import Awaitable, Callable, Sequence
 from contextvars import Context
+from functools import partial
 from typing import Any, TypeVar
 
 import cbor2
@@ -66,28 +67,34 @@
         return self.down or self.writes_down or self.slowest_ms > 0 or share > 0
 
     async def read(self, key: str) -> Result[Row | None, Failure]:
-        return await self._within(super().read(key), DOWN)
+        return await self._within(partial(super().read, key), DOWN)
 
     async def scan(
         self, prefix: str, after: str = "", limit: int = 1_000
     ) -> Result[list[Row], Failure]:
-        return await self._within(super().scan(prefix, after, limit), DOWN)
+        return await self._within(partial(super().scan, prefix, after, limit), DOWN)
 
     async def commit(
         self, operations: Sequence[Operation], transaction: str
     ) -> Result[dict[str, int], Failure]:
-        return await self._within(super().commit(operations, transaction), UNANSWERED)
+        work = partial(super().commit, operations, transaction)
+        return await self._within(work, UNANSWERED)
 
     async def _within(
-        self, work: Awaitable[Result[T, Failure]], late: Failure
+        self,
+        work: Callable[[], Awaitable[Result[T, Failure]]],
+        late: Failure,
     ) -> Result[T, Failure]:
         call = outside(self._slowly(work))
         done, _ = await asyncio.wait({call}, timeout=STORE_TIMEOUT_MS / 1_000)
         return call.result() if done else Err(late)
 
-    async def _slowly(self, work: Awaitable[Result[T, Failure]]) -> Result[T, Failure]:
+    async def _slowly(
+        self,
+        work: Callable[[], Awaitable[Result[T, Failure]]],
+    ) -> Result[T, Failure]:
         await self._clock.sleep_ms(self._rng.randint(0, self.slowest_ms))
-        reply = await work
+        reply = await work()
         await self._clock.sleep_ms(self._rng.randint(0, self.slowest_ms))
         return reply
 
