Apply the policy of a service in the forwarder only

The entry server looked up idempotent and urgent for each request, and the forwarder replaced both from the same configuration. The lookup is removed from the entry server; behaviour is unchanged.

test_entry, test_requests and the planned stop of test_processes pass; the formatter, linter and type checker pass. The whole suite was not run again.

--- a/hyssopweir/entry.py
+++ b/hyssopweir/entry.py
@@ -168,6 +168,7 @@
         return self._answer(reply.ok_value)
 
     def _parse_request(self, http_req: web.Request, body: bytes) -> Request | Failure:
+        """Read a request; the forwarder applies the policy of its service."""
         limit_ms = self._cfg["limits"]["default_deadline_ms"]
         text = http_req.headers.get(DEADLINE_HEADER, str(limit_ms))
         if not text.isascii() or not text.isdigit() or not 0 < int(text[:9]) < 10**8:
@@ -180,17 +181,15 @@
                 detail = f"{name} must have 1 to {LONGEST_NAME} printable characters"
                 return not_run(Code.BAD_REQUEST, f"{detail}, no '/' and no '#'")
         service = http_req.match_info["service"]
-        policy = self._parts.configuration.body["services"].get(service)
         self._numbered += 1
         return Request(
             request_id=f"{self._parts.membership.session}.{self._numbered}",
             caller=caller,
             service=service,
             body=body,
-            idempotent=policy is not None and policy["idempotent"],
+            idempotent=False,
             key=key,
-            urgent=URGENT_HEADER in http_req.headers
-            or (policy is not None and policy.get("urgent", False)),
+            urgent=URGENT_HEADER in http_req.headers,
             expires_ms=self._clock.now_ms() + int(text),
         )
 
