Give up calls to an owner whose session has ended

Cause: the start order decides which instance owns which shard. When the frozen instance owned all shards, each caller's request waited for it until it was resumed, although its session had ended and its shards had new owners: a paused process keeps its links open, so the receiver saw neither an answer nor a broken link. Ruled out: too few workers or threads in the test, and a slow machine (the answers that came took 20 to 70 ms).

Change: the receiver gives up a call when the session of the owner ends, and ranks no shard whose owner's session has ended. Such a retry costs nothing of the retry budget. A caller waits 2 s, before 1 s, for an owner, the time that a takeover by the next-ranked instance may take.

--- a/benchmarks/decisions.py
+++ b/benchmarks/decisions.py
@@ -1,7 +1,7 @@
 """Time of each routing and placement decision in a fleet of a given size."""
 
 import random
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from typing import Any, NamedTuple
 
 from benchmarks.slopes import spent_us
@@ -75,6 +75,12 @@
 class OneSession:
     session = "session-0"
 
+    def is_gone(self, session: str) -> bool:
+        return False
+
+    def on_gone(self, handler: Callable[[str], None]) -> None:
+        return
+
 
 def _router(workers: list[Worker], seed: int) -> ShardRouter:
     clock = VirtualClock()
--- a/hyssopweir/forwarding.py
+++ b/hyssopweir/forwarding.py
@@ -20,7 +20,7 @@
     unsent,
 )
 from hyssopweir.invariants import InvariantError, Invariants
-from hyssopweir.peers import PeerNetwork
+from hyssopweir.peers import Params, PeerNetwork
 from hyssopweir.request_messages import (
     EXECUTE,
     ResolveCall,
@@ -28,15 +28,16 @@
     read_answer,
 )
 from hyssopweir.retries import Backoff, RetryBudget
-from hyssopweir.routing import OwnersView, OwnSession, ShardRouter
+from hyssopweir.routing import OwnersView, SessionView, ShardRouter
 from hyssopweir.table import ABSENT
 
 RETRY_BASE_MS: Millis = 5
 RETRY_CAP_MS: Millis = 200
 FOLLOW_BASE_MS: Millis = 20
 FOLLOW_CAP_MS: Millis = 500
-# A caller waits no longer than this while no shard has a connected owner.
-NO_OWNER_WAIT_MS: Millis = 1_000
+# A caller waits no longer than this while no shard has a connected owner. A takeover
+# takes up to two scans of 500 ms and the delay of the next-ranked instance of 500 ms.
+NO_OWNER_WAIT_MS: Millis = 2_000
 # A caller waits no longer than this past its deadline for a key record to be closed.
 CLOSE_WAIT_MS: Millis = 500
 MOST_TRIES = 5
@@ -56,14 +57,6 @@
 )
 
 
-class SessionView(OwnSession, Protocol):
-    """Name the part of membership that forwarding uses."""
-
-    def is_gone(self, session: str) -> bool:
-        """Tell whether a session is expired or deleted; False if unsure."""
-        ...
-
-
 class ServiceCatalogue(Protocol):
     """Name the part of the configuration that forwarding uses."""
 
@@ -79,6 +72,7 @@
     def __init__(self) -> None:
         self.tries = 0
         self.tried: list[str] = []
+        self.owner: str | None = None
         self.may_have_run = False
         self.backoff = Backoff(RETRY_BASE_MS, RETRY_CAP_MS)
 
@@ -112,6 +106,8 @@
         self._clock = clock
         self._log = log
         self._closing: set[asyncio.Task[Any]] = set()
+        self._calls: dict[str, set[asyncio.Task[Result[Params, Failure]]]] = {}
+        membership.on_gone(self._abandon_calls)
 
     async def handle(self, req: Request) -> Result[Answer, Failure]:
         """Return the answer, or a failure that says truly what is known."""
@@ -334,7 +330,7 @@
             return Err(not_run(Code.NO_CAPACITY, "no shard has a connected owner"))
         attempts.tries += 1
         attempts.tried.append(shard)
-        owner = self._ownership.owner_of(shard)
+        attempts.owner = owner = self._ownership.owner_of(shard)
         if owner == self._membership.session:
             return await self._dispatcher.execute(req, shard, version)
         if owner is None:
@@ -363,7 +359,7 @@
         version: int,
     ) -> Result[Answer, Failure]:
         params = execute_params(req, shard, version)
-        reply = await self._peers.call(owner, EXECUTE, params, req.expires_ms)
+        reply = await self._call_owner(owner, params, req.expires_ms)
         if isinstance(reply, Err):
             return reply
         try:
@@ -377,6 +373,40 @@
             return Err(unknown(Code.ANSWER_MISMATCH, detail))
         return Ok(answer)
 
+    async def _call_owner(
+        self,
+        owner: str,
+        params: Params,
+        expires_ms: Millis,
+    ) -> Result[Params, Failure]:
+        """Call the owner for as long as its session lasts.
+
+        An owner that is paused keeps its links open, so only the end of its session
+        tells that another instance serves its shards.
+        """
+        call = asyncio.create_task(
+            self._peers.call(owner, EXECUTE, params, expires_ms),
+        )
+        calls = self._calls.setdefault(owner, set())
+        calls.add(call)
+        try:
+            await asyncio.wait({call})
+        except asyncio.CancelledError:
+            call.cancel()
+            raise
+        finally:
+            calls.discard(call)
+            if not calls and self._calls.get(owner) is calls:
+                del self._calls[owner]
+        if call.cancelled():
+            detail = "the session of the owner has ended"
+            return Err(unknown(Code.PEER_LOST, detail))
+        return call.result()
+
+    def _abandon_calls(self, session: str) -> None:
+        for call in self._calls.pop(session, ()):
+            call.cancel()
+
     async def _may_retry(
         self,
         req: Request,
@@ -386,7 +416,8 @@
         """Wait and return True if another try is allowed and may succeed.
 
         A conflict on the key record and a wrong owner cost nothing of the retry budget:
-        nothing was tried, and the record or the owner is known by now.
+        nothing was tried, and the record or the owner is known by now. An owner whose
+        session has ended is replaced once, so these retries can't multiply the load.
         """
         is_keyed = req.key is not None
         if failure.code in FINAL or is_unsent(failure):
@@ -400,7 +431,10 @@
         delay_ms = attempts.backoff.next_ms()
         if self._clock.now_ms() + delay_ms >= req.expires_ms:
             return failure.code is Code.STORE_CONFLICT and attempts.tries < MOST_TRIES
-        free = failure.code in (Code.NOT_OWNER, Code.STORE_CONFLICT)
+        is_replaced = attempts.owner is not None and self._membership.is_gone(
+            attempts.owner
+        )
+        free = is_replaced or failure.code in (Code.NOT_OWNER, Code.STORE_CONFLICT)
         if not free and not self._budget.try_retry():
             return False
         self._emit(Event.REQUEST_RETRIED, req, reason=str(failure))
--- a/hyssopweir/membership.py
+++ b/hyssopweir/membership.py
@@ -95,6 +95,8 @@
         self._seen: dict[str, _Seen] = {}
         self._expired: set[str] = set()
         self._junk_versions: dict[str, int] = {}
+        self._live_before: set[str] = set()
+        self._gone_handlers: list[Callable[[str], None]] = []
 
     async def on_start(self) -> None:
         """Write heartbeats and scan the sessions periodically."""
@@ -144,6 +146,10 @@
             return False
         return session in self._expired or session not in self._seen
 
+    def on_gone(self, handler: Callable[[str], None]) -> None:
+        """Call ``handler`` with each session that has expired or been deleted."""
+        self._gone_handlers.append(handler)
+
     def is_observing(self) -> bool:
         """Tell whether the own scans and the own heartbeats succeed."""
         now_ms = self._clock.now_ms()
@@ -267,6 +273,7 @@
             self._restart_observation()
         self._observe(rows, now_ms)
         self._expire(now_ms)
+        self._report_gone()
 
     def _observe(self, rows: list[Row], now_ms: Millis) -> None:
         seen: dict[str, _Seen] = {}
@@ -307,6 +314,15 @@
                 silent_ms=silent_ms,
             )
 
+    def _report_gone(self) -> None:
+        if not self.is_observing():
+            return
+        live = self._seen.keys() - self._expired
+        for session in self._live_before - live - {self.session}:
+            for handler in self._gone_handlers:
+                handler(session)
+        self._live_before = live
+
     def _restart_observation(self) -> None:
         now_ms = self._clock.now_ms()
         self._expired.clear()
--- a/hyssopweir/routing.py
+++ b/hyssopweir/routing.py
@@ -36,6 +36,18 @@
         ...
 
 
+class SessionView(OwnSession, Protocol):
+    """Name the part of membership that forwarding uses."""
+
+    def is_gone(self, session: str) -> bool:
+        """Tell whether a session is expired or deleted; False if unsure."""
+        ...
+
+    def on_gone(self, handler: Callable[[str], None]) -> None:
+        """Call ``handler`` with each session that has expired or been deleted."""
+        ...
+
+
 class OwnersView(Protocol):
     """Name the part of shard ownership that routing uses."""
 
@@ -73,7 +85,7 @@
 
     def __init__(
         self,
-        membership: OwnSession,
+        membership: SessionView,
         data_centre: str,
         links: Mapping[str, float],
         fleet: ShardsView,
@@ -152,7 +164,10 @@
             if owner is None:
                 continue
             if owner not in reachable:
-                reachable[owner] = self._peers.connected(owner)
+                # A paused instance keeps its links open after its session has ended.
+                reachable[owner] = self._peers.connected(
+                    owner
+                ) and not self._membership.is_gone(owner)
             if not reachable[owner]:
                 continue
             name = shard.partition("/")[0]
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -153,11 +153,18 @@
         path.write_text(json.dumps(cfg))
         self.start(data_centre, "serve", str(path))
 
-    def start_all(self) -> None:
+    def start_all(self, owner_of_all: str | None) -> None:
+        """Start everything; ``owner_of_all`` claims all shards before others start."""
         self.start_platform()
         self.start_workers()
-        for name in DATA_CENTRES:
+        first = [] if owner_of_all is None else [owner_of_all]
+        for name in first:
             self.start_instance(name)
+            self.wait_ready(name)
+            self.wait_owned(name)
+        for name in DATA_CENTRES:
+            if name not in first:
+                self.start_instance(name)
         for name in DATA_CENTRES:
             self.wait_ready(name)
         self.wait_owned(DATA_CENTRES[0])
@@ -220,10 +227,10 @@
 
 
 @contextmanager
-def running_system(folder: Path) -> Iterator[System]:
+def running_system(folder: Path, owner_of_all: str | None = None) -> Iterator[System]:
     system = System(folder, [sys.executable, "-m", "hyssopweir"])
     try:
-        system.start_all()
+        system.start_all(owner_of_all)
         yield system
     finally:
         system.close()
--- a/tests/request_world.py
+++ b/tests/request_world.py
@@ -61,6 +61,9 @@
     def is_gone(self, session: str) -> bool:
         return session in self.world.gone
 
+    def on_gone(self, handler: Callable[[str], None]) -> None:
+        self.world.gone_handlers.append(handler)
+
     def owner_of(self, shard: str) -> str | None:
         return self.world.owners[shard][0] if shard in self.world.owners else None
 
@@ -180,6 +183,7 @@
         self.network = FakeNetwork(self.clock)
         self.owners: dict[str, tuple[str, int]] = {}
         self.gone: set[str] = set()
+        self.gone_handlers: list[Callable[[str], None]] = []
         self.nodes: dict[str, Node] = {}
         self.background: set[asyncio.Task[None]] = set()
         for session, place in (("a", "kista"), ("b", "huddinge"), ("c", "kista")):
@@ -204,7 +208,15 @@
     async def kill_owner(self, session: str, heir: str) -> None:
         await self.nodes[session].kill()
         await self.clock.sleep_ms(TAKEOVER_MS)
+        self.end_session(session)
+        self.give_all(session, heir)
+
+    def end_session(self, session: str) -> None:
         self.gone.add(session)
+        for handler in self.gone_handlers:
+            handler(session)
+
+    def give_all(self, session: str, heir: str) -> None:
         for shard, (owner, _) in list(self.owners.items()):
             if owner == session:
                 self.give(shard, heir)
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -199,6 +199,20 @@
     in_rig(scenario)
 
 
+def test_end_of_a_session_is_reported_once() -> None:
+    """Guards against calls that wait for ever for an instance that is gone."""
+
+    async def scenario(rig: Rig) -> None:
+        victim, watcher = rig.nodes[:2]
+        gone: list[str] = []
+        watcher.membership.on_gone(gone.append)
+        await victim.kill()
+        await sleep(TAKEOVER_MS)
+        assert gone == [victim.membership.session]
+
+    in_rig(scenario)
+
+
 @pytest.mark.parametrize("fault", ["down", "writes_down"])
 @pytest.mark.parametrize("outage_ms", [1_500, 2_100, 3_900, 60_000])
 def test_outage_of_the_table_moves_no_shard(fault: str, outage_ms: Millis) -> None:
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -128,10 +128,20 @@
 ]
 
 
-@pytest.mark.parametrize("fault", FAULTS, ids=lambda fault: fault.__name__)
-def test_work_survives_a_fault(tmp_path: Path, fault: Callable[[System], None]) -> None:
+# The order of the starts decides which instance owns which shard, so the freeze is also
+# run with the frozen instance as the owner of all shards.
+CASES = [
+    *(pytest.param(fault, None, id=fault.__name__) for fault in FAULTS),
+    pytest.param(freeze_past_the_session, "kista", id="freeze_the_owner_of_all"),
+]
+
+
+@pytest.mark.parametrize(("fault", "owner_of_all"), CASES)
+def test_work_survives_a_fault(
+    tmp_path: Path, fault: Callable[[System], None], owner_of_all: str | None
+) -> None:
     """Guards against lost, doubled or wrong answers when a process fails."""
-    with running_system(tmp_path) as system:
+    with running_system(tmp_path, owner_of_all) as system:
         confirm_intent(system)
         assert check_price(system, "kista", 0).status == 200
         submit(system, "watch", tasks=9, run_ms=1_500)
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -10,11 +10,14 @@
 from hypothesis import strategies as st
 from result import Err, Result
 
+from hyssopweir.clock import Millis
 from hyssopweir.codes import Code, Failure, Outcome, unknown
 from hyssopweir.contracts import KeyState
 from hyssopweir.events import Event
 from hyssopweir.fleet import Listing
 from hyssopweir.idempotency import INLINE_ANSWER_BYTES, row_name
+from hyssopweir.peers import Params
+from hyssopweir.request_messages import EXECUTE
 from hyssopweir.retries import Backoff, RetryBudget
 from hyssopweir.routing import WorkerHealth
 from tests.builders import (
@@ -48,6 +51,30 @@
     in_world(story)
 
 
+@pytest.mark.parametrize("claim_ms", [0, 600])
+@pytest.mark.parametrize("is_keyed", [False, True])
+def test_silent_owner_is_given_up_when_its_session_ends(
+    is_keyed: bool, claim_ms: Millis
+) -> None:
+    """Guards against callers that wait for a paused owner although it is replaced."""
+
+    async def story(world: World) -> None:
+        async def never_answer(params: Params, expires_ms: Millis) -> Any:
+            await world.clock.sleep_ms(60_000)
+
+        world.give("huddinge/r0", "a")
+        world.nodes["a"].peers.register(EXECUTE, never_answer)
+        world.later(3_000, lambda: world.end_session("a"))
+        world.later(3_000 + claim_ms, lambda: world.give_all("a", "c"))
+        began_ms = world.clock.now_ms()
+        req = keyed(0) if is_keyed else build_request(0)
+        reply = await world.send("b", req, 15_000)
+        assert reply.is_ok(), reply
+        assert world.clock.now_ms() - began_ms < 4_500
+
+    in_world(story)
+
+
 @pytest.mark.parametrize("offset_ms", [0, 1, 3, 7, 20, 65, 80])
 @pytest.mark.parametrize("pair", ["ab", "bc", "ac", "cc"])
 def test_same_key_at_two_instances(offset_ms: int, pair: str) -> None:
