--- a/hyssopweir/standin_workers.py
+++ b/hyssopweir/standin_workers.py
@@ -21,6 +21,7 @@
     RunReport,
     RunState,
     TaskRun,
+    Usage,
 )
 
 LEAVING_BOUND_MS: Millis = 3_000
@@ -28,6 +29,9 @@
 DEFAULT_SERVICE_MS: Millis = 20
 CHECKPOINT_MS: Millis = 5
 TICK_MS: Millis = 50
+# A measurement of a task is reported this long after it was made.
+USAGE_LAG_MS: Millis = 2_000
+USAGE_INTERVAL_MS: Millis = 500
 
 
 class Violation(NamedTuple):
@@ -124,6 +128,17 @@
         self.answer: bytes | None = None
         self.error = ""
         self.ended_ms: Millis = 0
+        self.uses: tuple[float, float] = (0.0, 0.0)
+        self._measured: deque[Usage] = deque()
+        self._usage: Usage | None = None
+
+    def measure(self, now_ms: Millis) -> None:
+        """Measure the cores and memory in use; the measurement is reported later."""
+        if not self._measured or now_ms - self._measured[-1].at_ms >= USAGE_INTERVAL_MS:
+            cores, memory_gb = self.uses
+            self._measured.append(Usage(now_ms, cores * self.share, memory_gb))
+        while self._measured and self._measured[0].at_ms + USAGE_LAG_MS <= now_ms:
+            self._usage = self._measured.popleft()
 
     def report(self) -> RunReport:
         """Return the worker's word on this run."""
@@ -136,6 +151,7 @@
             self.checkpoint,
             min(self.done_ms / max(self.work_ms, 1), 1.0),
             self.error,
+            self._usage,
         )
 
 
@@ -256,6 +272,7 @@
         live = Run(run.run_id, True, run.run_ms)
         live.checkpoint = run.checkpoint
         live.done_ms = live.saved_ms = _saved_ms(run.checkpoint)
+        live.uses = (run.cores, run.memory_gb)
         self._runs[run.run_id] = self._listed[run.run_id] = live
         self._lease_until_ms[run.run_id] = lease_until_ms
         self._account.task_started(self.worker, run.run_id)
@@ -411,6 +428,7 @@
                 self._end(run, RunState.LAPSED)
                 return
             run.done_ms += min(TICK_MS, run.work_ms) * run.share
+            run.measure(self._clock.now_ms())
             if self.fails_everything:
                 run.error = "the task failed"
                 self._end(run, RunState.FAILED)
--- a/hyssopweir/worker_client.py
+++ b/hyssopweir/worker_client.py
@@ -30,11 +30,24 @@
     FORGOTTEN = "forgotten"
 
 
+class Usage(NamedTuple):
+    """Hold one measurement of a task, which arrives late.
+
+    ``at_ms`` is on the worker's monotonic clock, ``cores`` the mean since the
+    measurement before, ``memory_gb`` the peak since the start of the run.
+    """
+
+    at_ms: Millis
+    cores: float
+    memory_gb: float
+
+
 class RunReport(NamedTuple):
     """Hold a worker's word on one run.
 
-    ``answer`` and ``request_id`` are set for requests, ``checkpoint`` and ``progress``
-    (0 to 1) for tasks.
+    ``answer`` and ``request_id`` are set for requests, ``checkpoint``, ``progress`` (0
+    to 1) and the newest ``usage`` for tasks. ``out_of_memory`` tells that a failed task
+    was ended because it needed more memory than it was given.
     """
 
     run_id: str
@@ -45,6 +58,8 @@
     checkpoint: str | None = None
     progress: float = 0.0
     error: str = ""
+    usage: Usage | None = None
+    out_of_memory: bool = False
 
 
 class Inventory(NamedTuple):
--- a/hyssopweir/worker_http.py
+++ b/hyssopweir/worker_http.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import base64
+import math
 from collections.abc import Callable, Sequence
 from typing import Any, TypeVar
 
@@ -35,6 +36,7 @@
     RunReport,
     RunState,
     TaskRun,
+    Usage,
 )
 
 T = TypeVar("T")
@@ -334,7 +336,9 @@
 def report_to_dict(report: RunReport) -> dict[str, Any]:
     """Return the JSON form of a report."""
     answer = None if report.answer is None else _encode(report.answer)
-    return {**report._asdict(), "state": report.state.value, "answer": answer}
+    usage = None if report.usage is None else report.usage._asdict()
+    state = report.state.value
+    return {**report._asdict(), "state": state, "answer": answer, "usage": usage}
 
 
 def report_from_dict(data: Any) -> RunReport:
@@ -352,9 +356,24 @@
         field(data, "checkpoint", str, type(None)),
         progress,
         field(data, "error", str),
+        _usage_from_dict(field(data, "usage", dict, type(None))),
+        field(data, "out_of_memory", bool),
     )
 
 
+def _usage_from_dict(data: dict[str, Any] | None) -> Usage | None:
+    if data is None:
+        return None
+    usage = Usage(
+        field(data, "at_ms", int),
+        float(field(data, "cores", int, float)),
+        float(field(data, "memory_gb", int, float)),
+    )
+    if not (0.0 <= usage.cores < math.inf and 0.0 <= usage.memory_gb < math.inf):
+        raise ValueError("usage is out of range")
+    return usage
+
+
 def inventory_to_dict(inventory: Inventory) -> dict[str, Any]:
     """Return the JSON form of an inventory."""
     runs = [report_to_dict(report) for report in inventory.runs]
--- a/tests/test_worker_http.py
+++ b/tests/test_worker_http.py
@@ -200,6 +200,9 @@
             {"answer": "?"},
             {"answer": None},
             {"progress": float("nan")},
+            {"usage": {"at_ms": 1, "cores": -1.0, "memory_gb": 1.0}},
+            {"usage": {"at_ms": 1, "cores": float("nan"), "memory_gb": 1.0}},
+            {"out_of_memory": 1},
             {"is_task": 0},
         )
     ),
