Leave a job that has ended as it is when it is cancelled

Cause: the cancellation wrote the flag of the job row without looking at the tasks, so a finished job was shown as cancelled although all its tasks were done. The tasks are now read first. One read more for each cancellation.

The new test fails without the change. 24 tests of jobs pass.

--- a/hyssopweir/jobs.py
+++ b/hyssopweir/jobs.py
@@ -233,7 +233,10 @@
         return Ok(JobRecords(job, known, tasks.ok_value))
 
     async def cancel(self, job: str) -> Result[JobStatus, Failure]:
-        """Ask for the end of a job; tasks that are done first stay done."""
+        """Ask for the end of a job; tasks that are done first stay done.
+
+        A job that has ended already is left as it is.
+        """
         for _ in range(CANCEL_ATTEMPTS):
             found = await self._read_job(job)
             if isinstance(found, Err):
@@ -241,6 +244,11 @@
             if found.ok_value is None:
                 return Err(_not_found(job))
             row = cast(JobRow, found.ok_value.value)
+            tasks = await self._read_tasks(job)
+            if isinstance(tasks, Err):
+                return tasks
+            if has_ended(row, tasks.ok_value):
+                return Ok(status_of(row, tasks.ok_value))
             if row["cancelled"] or await self._flag(job, row, found.ok_value.version):
                 self._waker.job_cancelled(job)
                 self._peers.broadcast("job_cancelled", {"job": job})
@@ -293,6 +301,12 @@
     return shards
 
 
+def has_ended(row: JobRow, tasks: Sequence[TaskRow]) -> bool:
+    """Tell whether all tasks of a job are recorded as ended."""
+    ended = [TaskState(task["state"]) in FINAL_TASK_STATES for task in tasks]
+    return all(ended) and len(ended) == row["spec"]["tasks"]
+
+
 def status_of(row: JobRow, tasks: Sequence[TaskRow]) -> JobStatus:
     """Return a job's status from its rows."""
     counts = Counter(task["state"] for task in tasks)
--- a/tests/test_jobs.py
+++ b/tests/test_jobs.py
@@ -144,6 +144,18 @@
     with_desk(story)
 
 
+def test_ended_job_can_not_be_cancelled() -> None:
+    """Guards against a finished job that is shown as cancelled."""
+
+    async def story(world: World, one: Instance) -> None:
+        assert (await one.desk.submit(build_job(run_ms=100), "buyer")).is_ok()
+        await world.until(lambda: world.states() == ["done"], 6_000)
+        status = (await one.desk.cancel("price-watch")).unwrap()
+        assert (status["state"], status["cancelled"]) == ("done", False)
+
+    with_desk(story, owns=True)
+
+
 def test_cancellation_reaches_the_owner_without_its_note() -> None:
     """Guards against a cancelled job that runs on because a note was lost."""
 
