--- a/Makefile
+++ b/Makefile
@@ -3,6 +3,7 @@
 BIN := $(VENV)/bin
 READY := $(VENV)/.ready
 BINARY ?= dist/hyssopweir
+SOURCES := hyssopweir tests benchmarks
 
 .PHONY: demo test check format binary bench soak clean
 
@@ -19,13 +20,13 @@
 	$(BIN)/python -m pytest $(PYTEST_ARGS)
 
 check: $(READY)
-	$(BIN)/black --check hyssopweir tests benchmarks
-	$(BIN)/ruff check hyssopweir tests benchmarks
+	$(BIN)/black --check $(SOURCES)
+	$(BIN)/ruff check $(SOURCES)
 	$(BIN)/mypy
 
 format: $(READY)
-	$(BIN)/black --quiet hyssopweir tests benchmarks
-	$(BIN)/ruff check --fix hyssopweir tests benchmarks
+	$(BIN)/black --quiet $(SOURCES)
+	$(BIN)/ruff check --fix $(SOURCES)
 
 binary: $(READY)
 	mkdir -p $(dir $(BINARY))
