Deliver some calls to workers twice in the random runs

The random runs duplicated notes only. Now 2% of the calls to workers arrive a second time, up to 3 s after the first, from a random sequence of their own, so that the faults of a seed stay the same.

With the stand-in worker accepting a run id twice (scratch copy) seed 1 fails: at most once, two places, one start.

--- a/tests/system.py
+++ b/tests/system.py
@@ -47,6 +47,9 @@
 }
 DATA_CENTRES = ("kista", "huddinge", "arlanda")
 STORE_TIMEOUT_MS: Millis = 1_000
+# Share of the calls that arrive twice, and the longest delay of the second arrival.
+DUPLICATED_SHARE = 0.02
+DUPLICATE_MS: Millis = 3_000
 # An instance that stops goes on accepting for 3 s, by when no balancer sends to it.
 BALANCER_LAG_MS: Millis = 2_900
 FOR_EVER_MS: Millis = 10**12
@@ -121,11 +124,15 @@
 
 
 class SystemWorkerClient(FakeWorkerClient):
-    """Call workers; a cut in one direction loses calls, or the replies to them."""
+    """Call workers; a cut in one direction loses calls, or the replies to them.
+
+    Some calls arrive a second time, at any time up to ``DUPLICATE_MS`` after the first.
+    """
 
     def __init__(self, system: "System") -> None:
         super().__init__(system.fleet, system.clock)
         self.cut_replies: set[str] = set()
+        self._rng = random.Random(f"duplicates {system.seed}")
 
     async def _call(
         self,
@@ -137,12 +144,23 @@
         if worker_id in self.fleet.dead or worker_id in self.cut:
             await self._clock.sleep_ms(self.latency_ms)
             return Err(not_run(Code.WORKER_UNREACHABLE, "connection refused"))
-        call = outside(self._deliver_to(self.fleet.workers[worker_id], act))
+        target = self.fleet.workers[worker_id]
+        call = outside(self._deliver_to(target, act))
+        if self._rng.random() < DUPLICATED_SHARE:
+            outside(self._deliver_again(target, act))
         done, _ = await asyncio.wait({call}, timeout=timeout_ms / 1_000)
         if not done:
             return Err(unknown(Code.WORKER_UNREACHABLE, "no answer from the worker"))
         return call.result()
 
+    async def _deliver_again(
+        self,
+        target: StandinWorker,
+        act: Callable[[StandinWorker], Awaitable[Result[T, Failure]]],
+    ) -> None:
+        await self._clock.sleep_ms(self._rng.randint(0, DUPLICATE_MS))
+        await self._deliver_to(target, act)
+
     async def _deliver_to(
         self,
         target: StandinWorker,
