--- a/hyssopweir/worker_links.py
+++ b/hyssopweir/worker_links.py
@@ -88,6 +88,7 @@
         self._clock = clock
         self._events = log
         self._links: dict[str, _Link] = {}
+        self._shard_links: dict[str, dict[str, _Link]] = {}
         self._epochs: dict[str, int] = {}
         self._held_since_ms: dict[str, Millis] = {}
         self._lease_sent_ms: dict[str, Millis] = {}
@@ -155,10 +156,9 @@
         """Drop the links to the workers of a shard."""
         self._epochs.pop(shard, None)
         self._held_since_ms.pop(shard, None)
-        for link in list(self._links.values()):
-            if link.worker.shard == shard:
-                self._drop(link)
-                self._lease_sent_ms.pop(link.worker.worker_id, None)
+        for link in self._links_of(shard):
+            self._drop(link)
+            self._lease_sent_ms.pop(link.worker.worker_id, None)
 
     async def on_stop(self) -> None:
         """End all links; the ledger keeps its counts."""
@@ -183,17 +183,20 @@
 
     def _follow_fleet(self, shard: str) -> None:
         listed = {worker.worker_id: worker for worker in self._fleet.workers_of(shard)}
-        for link in list(self._links.values()):
-            known = link.worker
-            if known.shard == shard and listed.get(known.worker_id) != known:
+        for link in self._links_of(shard):
+            if listed.get(link.worker.worker_id) != link.worker:
                 self._drop(link)
         for worker_id, worker in listed.items():
             if worker_id not in self._links:
                 self._open(worker, self._epochs[shard])
 
+    def _links_of(self, shard: str) -> list[_Link]:
+        return list(self._shard_links.get(shard, {}).values())
+
     def _open(self, worker: Worker, epoch: int) -> None:
         link = _Link(worker, epoch)
         self._links[worker.worker_id] = link
+        self._shard_links.setdefault(worker.shard, {})[worker.worker_id] = link
         self._ledger.open_worker(worker)
         link.task = asyncio.create_task(self._keep(link))
 
@@ -202,6 +205,10 @@
         if link.task is not None:
             link.task.cancel()
         del self._links[worker_id]
+        links = self._shard_links[link.worker.shard]
+        del links[worker_id]
+        if not links:
+            del self._shard_links[link.worker.shard]
         self._ledger.close_worker(worker_id)
 
     async def _keep(self, link: _Link) -> None:
