--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -11,6 +11,8 @@
 def pytest_addoption(parser: pytest.Parser) -> None:
     parser.addoption("--soak-seed", type=int, default=1, help="first seed")
     parser.addoption("--soak-runs", type=int, default=0, help="number of seeds")
+    # Longer than a worker remembers ended requests; an hour takes over a minute.
+    parser.addoption("--cut-minutes", type=int, default=12, help="length of a cut")
 
 
 def pytest_generate_tests(metafunc: pytest.Metafunc) -> None:
