Let workers refuse calls that are meant for another worker

Seen in test_work_survives_a_fault while another test run used the same ports: tasks were stopped and refused at random and the job never ended, because the instances of two systems claimed the same workers. The same happens without any test when the address of an ended worker is used again before the instance list shows it: epochs of different shards can't be compared, so the fence does not keep the two owners apart.

Every call now names its worker, and another one refuses it as not run. The new test fails without the check.

The test harness keeps a port behind its range bound, so that two runs at once do not choose the same range, and its callers end when a step fails; before, they went on for ever and hid the failure. Ruled out: a fault in settling runs, since each stop was made by an instance of the other system.

--- a/benchmarks/entry_path.py
+++ b/benchmarks/entry_path.py
@@ -5,7 +5,14 @@
 from statistics import median
 from typing import NamedTuple
 
-from benchmarks.processes import LOCAL, Site, Usage, run_load, running_site
+from benchmarks.processes import (
+    LOCAL,
+    OWNER_DATA_CENTRE,
+    Site,
+    Usage,
+    run_load,
+    running_site,
+)
 
 WORKERS = 4
 SLOTS = 8
@@ -110,6 +117,7 @@
     plan = {
         "kind": "worker" if path == "direct" else "instance",
         "targets": targets,
+        "workers": [f"{OWNER_DATA_CENTRE}-w{n}" for n in range(WORKERS)],
         "service": service,
         "concurrency": concurrency,
         "requests": scale.low_requests if concurrency == 1 else scale.full_requests,
--- a/benchmarks/load.py
+++ b/benchmarks/load.py
@@ -16,10 +16,14 @@
 
 
 class Plan(TypedDict):
-    """Describe a load; ``targets`` are workers if ``kind`` is ``worker``."""
+    """Describe a load.
+
+    If ``kind`` is ``worker``, ``targets`` are the addresses of ``workers``.
+    """
 
     kind: str
     targets: list[str]
+    workers: list[str]
     service: str
     concurrency: int
     requests: int
@@ -50,13 +54,17 @@
         rng = random.Random(plan["seed"] * 1_000 + number)
         self._body = rng.randbytes(plan["body_bytes"])
         self._expected = plan["service"].encode() + b" answers " + self._body
+        self._worker = ""
         self._fence: dict[str, Any] = {}
+        if plan["kind"] == "worker":
+            self._worker = plan["workers"][number % len(plan["workers"])]
         self._sent = 0
 
     async def open(self) -> None:
         """Claim the worker, so that it takes requests of this caller."""
         if self._plan["kind"] == "worker":
-            reply = await self._post("/v1/claim", json.dumps({"epoch": EPOCH}).encode())
+            claim = {"worker": self._worker, "epoch": EPOCH}
+            reply = await self._post("/v1/claim", json.dumps(claim).encode())
             incarnation = json.loads(reply)["incarnation"]
             self._fence = {"epoch": EPOCH, "incarnation": incarnation}
 
@@ -77,7 +85,8 @@
             "body": base64.b64encode(self._body).decode(),
             "deadline_ms": DEADLINE_MS,
         }
-        text = json.dumps({"fence": self._fence, "run": run}).encode()
+        params = {"worker": self._worker, "fence": self._fence, "run": run}
+        text = json.dumps(params).encode()
         report = json.loads(await self._post("/v1/execute", text))
         return base64.b64decode(report.get("answer") or "") == self._expected
 
--- a/hyssopweir/standin_server.py
+++ b/hyssopweir/standin_server.py
@@ -153,8 +153,11 @@
             abort_reply(request)
             return web.Response()
         try:
-            call = METHODS[request.match_info["method"]]
-            reply = await call(self.worker, from_json(body))
+            call, data = METHODS[request.match_info["method"]], from_json(body)
+            if field(data, "worker", str) != self.worker.worker.worker_id:
+                detail = f"this is {self.worker.worker.worker_id}"
+                return _refusal(Code.WORKER_REFUSED, detail, CONFLICT)
+            reply = await call(self.worker, data)
         except (ValueError, KeyError) as exc:
             return _refusal(Code.WORKER_REFUSED, str(exc), BAD_REQUEST)
         await self._running.wait()
--- a/hyssopweir/worker_http.py
+++ b/hyssopweir/worker_http.py
@@ -229,8 +229,12 @@
         timeout_ms: Millis | None = None,
         limit: int = 0,
     ) -> Result[T, Failure]:
-        """Call a worker; ``limit`` is set if the reply carries an answer."""
-        body = to_json(params)
+        """Call a worker; ``limit`` is set if the reply carries an answer.
+
+        The instance list lags, so another worker may have taken the address over. Each
+        call names its worker, and another one refuses it.
+        """
+        body = to_json({"worker": worker.worker_id, **params})
         if isinstance(body, Err):
             return Err(not_run(Code.BAD_REQUEST, body.err_value))
         sent = await self._exchange(
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -92,7 +92,7 @@
         self._write_fleet()
 
     def _write_fleet(self) -> None:
-        first = _port_range(4 * len(DATA_CENTRES))
+        first, self._port_guard = _port_range(4 * len(DATA_CENTRES))
         local = {"host": "127.0.0.1"}
         fleet = {
             "name": "norrstrom",
@@ -208,18 +208,25 @@
             process.kill()
         for process in self.processes.values():
             process.wait()
+        self._port_guard.close()
 
 
-def _port_range(count: int) -> int:
-    """Return the first of ``count`` successive ports that are free now."""
-    for first in range(24_000, 32_000, count):
+def _port_range(count: int) -> tuple[int, socket.socket]:
+    """Return the first of ``count`` free successive ports, and a guard to close later.
+
+    The guard holds the port behind the range, so that another test run on this machine
+    does not take the same range before the workers listen on it.
+    """
+    for first in range(24_000, 32_000, count + 1):
         holders = [socket.socket() for _ in range(count)]
+        guard = socket.socket()
         try:
+            guard.bind(("127.0.0.1", first + count))
             for offset, holder in enumerate(holders):
                 holder.bind(("127.0.0.1", first + offset))
-            return first
+            return first, guard
         except OSError:
-            continue
+            guard.close()
         finally:
             for holder in holders:
                 holder.close()
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -161,9 +161,12 @@
                 for number in range(6)
                 for name in DATA_CENTRES[1:]
             ]
-            fault(system)
-            wait_done(system, "arlanda", "watch")
-            stop.set()
+            try:
+                fault(system)
+                wait_done(system, "arlanda", "watch")
+            finally:
+                # The callers would otherwise go on for ever after a failure.
+                stop.set()
             for asker in askers:
                 asker.result()
             offered = [offer.result() for offer in offers]
--- a/tests/test_worker_http.py
+++ b/tests/test_worker_http.py
@@ -95,6 +95,23 @@
     asyncio.run(main())
 
 
+def test_worker_refuses_calls_for_another():
+    """Guards against two owners of one worker whose address an ended one had before."""
+
+    async def main() -> None:
+        async with running() as site:
+            client, worker, fence = await site.claim()
+            other = worker._replace(worker_id="kista-w9")
+            refused = (Code.WORKER_REFUSED, Outcome.NOT_RUN)
+            assert code_of(await client.claim(other, 9)) == refused
+            run = request_run("o#1")
+            assert code_of(await client.execute(other, fence, run)) == refused
+            # The claim in another worker's name has not raised the epoch.
+            assert (await client.execute(worker, fence, request_run())).is_ok()
+
+    asyncio.run(main())
+
+
 def test_worker_faults():
     """Guards against a wrong outcome when a worker dies, hangs or restarts."""
 
