Eject slow workers, at most a third of a shard, and blame failing services

A worker was ejected after 3 failures in a row whatever the cause, so that a service that failed everywhere, or a fault that a whole rack shared, took all workers of a shard out of use. A slow worker was never ejected, and tasks were placed on ejected workers.

WorkerHealth moves into its own module, worker_health. It ejects at most a third of a shard's workers (at least one); counts failures on 3 distinct workers within 10 s without a success against the service; ejects a worker whose median latency of a service is 3 times that of the others; and doubles an ejection only after a failed probe, not after runs that were sent before the ejection. Failures count at first and are taken back, because a worker that fails everything may get all requests of a service. What is known of a worker is dropped when it leaves, restarts, or its shard is lost. Tasks are placed on an ejected worker only if no other one of the shard is left.

Ruled out: holding failures back until the service has succeeded elsewhere, since a worker that attracts all requests would then never be ejected.

--- a/hyssopweir/admission.py
+++ b/hyssopweir/admission.py
@@ -1,6 +1,7 @@
 """Admission of requests to the workers of the owned shards: queues and free slots."""
 
 import asyncio
+from collections.abc import Callable
 from itertools import count
 from typing import Protocol
 
@@ -10,22 +11,20 @@
 from hyssopweir.codes import Code, Failure, not_run
 from hyssopweir.contracts import Request
 from hyssopweir.events import Event, EventLog
+from hyssopweir.fleet import Worker
 from hyssopweir.invariants import InvariantError
 from hyssopweir.peers import Params
 from hyssopweir.request_queue import RequestQueue, Waiter
-from hyssopweir.routing import LatencyAverages, WorkerHealth, choose_worker
+from hyssopweir.routing import LatencyAverages, choose_worker
 from hyssopweir.run_lookup import Fences, FleetWorkers, ShardOwners
 from hyssopweir.settings import Settings
 from hyssopweir.slots import SlotLedger
+from hyssopweir.worker_health import ShardWorkers, WorkerHealth
 
 
-class LeavingView(FleetWorkers, Protocol):
+class LeavingView(FleetWorkers, ShardWorkers, Protocol):
     """Name the part of the fleet view that the dispatcher uses."""
 
-    def leaving_since_ms(self, worker_id: str) -> Millis | None:
-        """Return since when the list has shown the worker as leaving."""
-        ...
-
 
 class OwnedShards(ShardOwners, Protocol):
     """Name the part of shard ownership that the dispatcher uses."""
@@ -50,6 +49,14 @@
         """Note that the worker refused work because it is leaving."""
         ...
 
+    def on_dropped(self, handler: Callable[[Worker], None]) -> None:
+        """Call ``handler`` with each worker that is gone or whose shard was lost."""
+        ...
+
+    def on_restarted(self, handler: Callable[[Worker], None]) -> None:
+        """Call ``handler`` when a worker has lost its runs by a restart."""
+        ...
+
 
 class Admission:
     """Grant the free slots of the owned shards to requests in their order."""
--- a/hyssopweir/dispatch.py
+++ b/hyssopweir/dispatch.py
@@ -42,7 +42,6 @@
 from hyssopweir.routing import (
     LatencyAverages,
     OwnSession,
-    WorkerHealth,
 )
 from hyssopweir.run_lookup import RunLookup
 from hyssopweir.settings import Settings
@@ -55,6 +54,7 @@
     RunState,
     WorkerClient,
 )
+from hyssopweir.worker_health import WorkerHealth
 
 RECORD_WAIT_MS: Millis = 500
 SETTLE_UNCONFIRMED_MS: Millis = 500
@@ -103,9 +103,11 @@
         self._cfg = cfg
         self._clock = clock
         self._events = log
-        self._health = WorkerHealth(clock, log)
+        self.health = WorkerHealth(fleet, clock, log)
+        links.on_dropped(self._forget_health)
+        links.on_restarted(self._forget_health)
         self._admission = Admission(
-            fleet, ownership, links, ledger, self._health, cfg, clock, log
+            fleet, ownership, links, ledger, self.health, cfg, clock, log
         )
         self._sequence = count(1)
         self._latency_ms = LatencyAverages()
@@ -334,7 +336,7 @@
         fence: Fence,
     ) -> Result[Answer, Failure] | Failure:
         req = work.req
-        started_ms = self._clock.now_ms()
+        started_ms = work.sent_at_ms = self._clock.now_ms()
         run = RequestRun(
             work.run_id,
             req.request_id,
@@ -412,7 +414,8 @@
     ) -> Result[Answer, Failure] | Failure:
         """Free the slot of a run whose end is certain, and record the end."""
         self._ledger.release(worker.worker_id, work.run_id)
-        held_ms = self._clock.now_ms() - work.granted_at_ms
+        now_ms = self._clock.now_ms()
+        held_ms, latency_ms = now_ms - work.granted_at_ms, now_ms - work.sent_at_ms
         if report.state is RunState.NEVER_SEEN:
             return not_run(Code.WORKER_REFUSED, "the worker never received the run")
         if work.row is not None:
@@ -421,13 +424,28 @@
             detail = "the worker can't say how the run ended"
             return Err(unknown(Code.OUTCOME_UNKNOWN, detail))
         if report.state is not RunState.DONE or report.answer is None:
-            self._health.failed(worker.worker_id)
+            self._note_health(work, worker, None)
             detail = report.error or f"the run ended as {report.state.value}"
             return Err(Failure(Code.TASK_FAILED, detail, Outcome.RAN))
-        self._health.succeeded(worker.worker_id)
+        self._note_health(work, worker, latency_ms)
         self._admission.note_service(work.shard, held_ms)
         return Ok(answer_of(work, worker, report.answer))
 
+    def _note_health(
+        self, work: RequestWork, worker: Worker, latency_ms: Millis | None
+    ) -> None:
+        """Note the end of a run; without a latency it failed."""
+        if self._links.fence_of(worker.worker_id) is None:
+            # The shard was lost during the run; what is known of it was dropped.
+            return
+        if latency_ms is None:
+            self.health.failed(worker, work.req.service)
+        else:
+            self.health.succeeded(worker, work.req.service, latency_ms)
+
+    def _forget_health(self, worker: Worker) -> None:
+        self.health.forget(worker.worker_id)
+
     async def _ran_in_vain(
         self,
         work: RequestWork,
--- a/hyssopweir/instance.py
+++ b/hyssopweir/instance.py
@@ -182,6 +182,7 @@
                 clock,
                 log,
                 timing["lease_ms"],
+                self.dispatcher.health.is_ejected,
             ),
             self.peers,
             self.free_task_slots,
--- a/hyssopweir/placement.py
+++ b/hyssopweir/placement.py
@@ -40,6 +40,7 @@
     leaving: bool = False
     ready: bool = True
     failures: int = 0
+    ejected: bool = False
 
 
 class Verdict(Enum):
@@ -102,10 +103,11 @@
     ``fleet`` holds the workers of all shards; it only decides between ``NEVER_HERE``
     and ``NEVER``.
     """
+    avoids_ejected = _is_other_left(demand, candidates, failed_on)
     rejected = {
         candidate.worker.worker_id: why
         for candidate in candidates
-        if (why := _obstacle(demand, candidate, failed_on)) is not None
+        if (why := _obstacle(demand, candidate, failed_on, avoids_ejected)) is not None
     }
     fitting = [item for item in candidates if item.worker.worker_id not in rejected]
     if fitting:
@@ -119,10 +121,19 @@
     return _impossible(demand, failed_on, fleet, rejected)
 
 
+def _is_other_left(
+    demand: Demand, candidates: Sequence[Candidate], failed_on: Collection[str]
+) -> bool:
+    """Tell whether a worker that is not ejected may run the task, now or later."""
+    others = [c.worker for c in candidates if c.ready and not (c.ejected or c.leaving)]
+    return suits(demand, others, failed_on)
+
+
 def _obstacle(
     demand: Demand,
     candidate: Candidate,
     failed_on: Collection[str],
+    avoids_ejected: bool,
 ) -> str | None:
     """Return why the worker can't take the task now, None if it can."""
     worker = candidate.worker
@@ -131,6 +142,10 @@
         (worker.worker_id in failed_on, "failed this task before"),
         (candidate.leaving, "is leaving"),
         (not candidate.ready, "does not answer"),
+        (
+            candidate.ejected and avoids_ejected,
+            "is ejected, because requests fail or are slow there",
+        ),
         (candidate.free_slots <= 0, "has no free slot for tasks"),
         (
             candidate.free_cores + TOLERANCE < demand.cores,
--- a/hyssopweir/routing.py
+++ b/hyssopweir/routing.py
@@ -6,7 +6,6 @@
 from typing import NamedTuple, Protocol
 
 from hyssopweir.clock import Clock, Millis
-from hyssopweir.events import Event, EventLog
 from hyssopweir.fleet import DataCentre, Link
 from hyssopweir.peers import Params, PeerNetwork
 from hyssopweir.slots import SlotLedger
@@ -22,10 +21,6 @@
 RANKED_PER_DATA_CENTRE = 16
 LATENCY_WEIGHT = 0.2
 
-FAILURES_BEFORE_EJECTION = 3
-EJECTED_MS: Millis = 5_000
-LONGEST_EJECTION_MS: Millis = 60_000
-
 
 class OwnSession(Protocol):
     """Name the part of membership that the path of a request uses."""
@@ -250,56 +245,3 @@
     def drop(self, name: str) -> None:
         """Forget the measurements of ``name``."""
         self._average_ms.pop(name, None)
-
-
-class _Health(NamedTuple):
-    failures: int
-    until_ms: Millis
-
-
-class WorkerHealth:
-    """Eject workers that fail run after run, and probe them with single requests.
-
-    A worker that fails everything at once always has the least work in flight and would
-    otherwise attract most requests.
-    """
-
-    def __init__(self, clock: Clock, log: EventLog) -> None:
-        self._clock = clock
-        self._log = log
-        self._health: dict[str, _Health] = {}
-
-    def is_ejected(self, worker_id: str) -> bool:
-        """Tell whether the worker gets no requests now."""
-        health = self._health.get(worker_id)
-        return health is not None and self._clock.now_ms() < health.until_ms
-
-    def note_chosen(self, worker_id: str) -> None:
-        """Let no second request follow the probe of an ejected worker."""
-        health = self._health.get(worker_id)
-        if health is not None and health.failures >= FAILURES_BEFORE_EJECTION:
-            until_ms = self._clock.now_ms() + EJECTED_MS
-            self._health[worker_id] = health._replace(until_ms=until_ms)
-
-    def succeeded(self, worker_id: str) -> None:
-        """Note a run that was done."""
-        health = self._health.pop(worker_id, None)
-        if health is not None and health.failures >= FAILURES_BEFORE_EJECTION:
-            self._log.emit(Event.WORKER_RESTORED, worker=worker_id)
-
-    def failed(self, worker_id: str) -> None:
-        """Note a run that failed; eject the worker for longer each time."""
-        failures = self._health.get(worker_id, _Health(0, 0)).failures + 1
-        excess = failures - FAILURES_BEFORE_EJECTION
-        if excess < 0:
-            self._health[worker_id] = _Health(failures, 0)
-            return
-        ejected_ms = min(EJECTED_MS << min(excess, 10), LONGEST_EJECTION_MS)
-        until_ms = self._clock.now_ms() + ejected_ms
-        self._health[worker_id] = _Health(failures, until_ms)
-        self._log.emit(
-            Event.WORKER_EJECTED,
-            worker=worker_id,
-            failures=failures,
-            ejected_ms=ejected_ms,
-        )
--- a/hyssopweir/task_queue.py
+++ b/hyssopweir/task_queue.py
@@ -128,6 +128,7 @@
             self._parts.links.fence_of(worker_id) is not None
             and self._avoid_until_ms.get(worker_id, 0) <= now_ms,
             self._placed.failures(worker_id),
+            self._parts.is_ejected(worker_id),
         )
 
     def _is_leaving(self, worker_id: str) -> bool:
--- a/hyssopweir/task_rows.py
+++ b/hyssopweir/task_rows.py
@@ -1,7 +1,7 @@
 """Rows of jobs, tasks and queues, and a task as its owner holds it in memory."""
 
 import asyncio
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from typing import Any, NamedTuple, Protocol, TypedDict, cast
 
 from result import Err, Ok, Result
@@ -171,6 +171,7 @@
     clock: Clock
     log: EventLog
     lease_ms: Millis
+    is_ejected: Callable[[str], bool] = lambda worker_id: False
 
     @property
     def lease_bound_ms(self) -> Millis:
--- a/hyssopweir/worker_links.py
+++ b/hyssopweir/worker_links.py
@@ -26,7 +26,7 @@
 IDLE_WATCHES = 4
 
 InventoryHandler = Callable[[Worker, Inventory], None]
-RestartHandler = Callable[[Worker], None]
+WorkerHandler = Callable[[Worker], None]
 
 
 class FleetWorkers(Protocol):
@@ -92,7 +92,8 @@
         self._held_since_ms: dict[str, Millis] = {}
         self._lease_sent_ms: dict[str, Millis] = {}
         self._inventory_handlers: list[InventoryHandler] = []
-        self._restart_handlers: list[RestartHandler] = []
+        self._restart_handlers: list[WorkerHandler] = []
+        self._drop_handlers: list[WorkerHandler] = []
 
     def fence_of(self, worker_id: str) -> Fence | None:
         """Return the fence of a worker, None until it is claimed."""
@@ -138,10 +139,14 @@
         """Call ``handler`` with each inventory, after the slots are counted."""
         self._inventory_handlers.append(handler)
 
-    def on_restarted(self, handler: RestartHandler) -> None:
+    def on_restarted(self, handler: WorkerHandler) -> None:
         """Call ``handler`` when a worker has lost its runs by a restart."""
         self._restart_handlers.append(handler)
 
+    def on_dropped(self, handler: WorkerHandler) -> None:
+        """Call ``handler`` with each worker that is gone or whose shard was lost."""
+        self._drop_handlers.append(handler)
+
     def shard_gained(self, shard: str, epoch: int) -> None:
         """Claim the workers of a shard; a new epoch claims them again."""
         if self._epochs.get(shard) == epoch:
@@ -203,6 +208,8 @@
             link.task.cancel()
         del self._links[worker_id]
         self._ledger.close_worker(worker_id)
+        for handler in self._drop_handlers:
+            handler(link.worker)
 
     async def _keep(self, link: _Link) -> None:
         """Claim and watch one worker for ever."""
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -136,6 +136,32 @@
     assert choice.worker in (None, LARGE)
 
 
+@pytest.mark.parametrize(
+    ("others", "worker"),
+    [
+        ([candidate(LARGE)], LARGE),
+        ([candidate(LARGE, failures=9)], LARGE),
+        # Waits for a worker that is only in use.
+        ([candidate(LARGE, free_slots=0)], None),
+        # None other is left.
+        ([], ACCELERATED),
+        ([candidate(SMALL)], ACCELERATED),
+        ([candidate(LARGE, leaving=True)], ACCELERATED),
+        ([candidate(LARGE, ready=False)], ACCELERATED),
+        ([candidate(LARGE, ejected=True, failures=1)], ACCELERATED),
+    ],
+)
+def test_ejected_worker_gets_a_task_only_if_no_other_is_left(
+    others: list[Candidate], worker: Worker | None
+) -> None:
+    """Guards against tasks on a broken worker, and tasks that wait for ever for it."""
+    choice = decide(Demand(9.0, 1.0), candidate(ACCELERATED, ejected=True), *others)
+    assert choice.worker == worker
+    assert worker is not None or choice.verdict is Verdict.WAIT
+    reason = choice.figures["rejected"].get(ACCELERATED.worker_id, "is ejected")
+    assert reason.startswith("is ejected")
+
+
 def test_unread_list_proves_nothing() -> None:
     """Guards against tasks that are held because the list was not read yet."""
     choice = choose(Demand(500.0, 1.0), [], (), [])
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -19,7 +19,6 @@
 from hyssopweir.peers import Params
 from hyssopweir.request_messages import EXECUTE
 from hyssopweir.retries import Backoff, RetryBudget
-from hyssopweir.routing import WorkerHealth
 from tests.builders import (
     build_request,
 )
@@ -402,7 +401,7 @@
         replies = [await world.send("a", build_request(n), 2_000) for n in range(60)]
         assert all(reply.is_ok() for reply in replies)
         broken.fails_everything = False
-        health: WorkerHealth = world.nodes["a"].dispatcher._health
+        health = world.nodes["a"].dispatcher.health
         assert health.is_ejected(broken.worker.worker_id)
         await world.clock.sleep_ms(60_000)
         sends = [world.send("a", build_request(n), 2_000) for n in range(100, 130)]
--- /dev/null
+++ b/tests/test_worker_health.py
@@ -0,0 +1,317 @@
+"""Ejection of workers that fail or are slow, and what must not be held against them."""
+
+from collections.abc import Sequence
+
+import pytest
+
+from hyssopweir.clock import Clock, Millis
+from hyssopweir.events import Event
+from hyssopweir.fleet import Worker
+from hyssopweir.instance import Instance
+from hyssopweir.retries import RetryBudget
+from hyssopweir.worker_health import MOST_SERVICES, WorkerHealth
+
+from .builders import build_job, build_log, build_request, build_settings, build_workers
+from .request_world import World, in_world, keyed
+from .task_world import World as TaskWorld
+from .virtual_time import run_virtual
+
+
+class HandClock(Clock):
+    ms: Millis = 0
+
+    def now_ms(self) -> Millis:
+        return self.ms
+
+
+class Shard:
+    """Hold the health of one shard and what the instance list shows of it."""
+
+    def __init__(self, count: int = 8) -> None:
+        self.clock = HandClock()
+        self.log = build_log(self.clock)
+        self.workers = build_workers(count, rack="r0")
+        self.leaving: set[str] = set()
+        self.health = WorkerHealth(self, self.clock, self.log)
+
+    def workers_of(self, shard: str) -> list[Worker]:
+        return self.workers
+
+    def leaving_since_ms(self, worker_id: str) -> Millis | None:
+        return 0 if worker_id in self.leaving else None
+
+    def fail(self, number: int, times: int = 1, service: str = "offer") -> None:
+        for _ in range(times):
+            self.health.failed(self.workers[number], service)
+
+    def serve(
+        self, number: int, latency_ms: float = 20, times: int = 1, service: str = "it"
+    ) -> None:
+        for _ in range(times):
+            self.health.succeeded(self.workers[number], service, latency_ms)
+
+    def probe(self, number: int) -> bool:
+        """Choose the worker if it may be; tell whether it was."""
+        worker_id = self.workers[number].worker_id
+        is_open = not self.health.is_ejected(worker_id)
+        if is_open:
+            self.health.note_chosen(worker_id)
+        return is_open
+
+    def ejected(self) -> list[int]:
+        ids = [worker.worker_id for worker in self.workers]
+        return [n for n, name in enumerate(ids) if self.health.is_ejected(name)]
+
+    def events(self, event: Event) -> int:
+        return sum(record.event is event for record in self.log)
+
+
+@pytest.mark.parametrize(
+    ("count", "leaving", "ejected"),
+    [(1, 0, 1), (2, 0, 1), (5, 0, 1), (6, 0, 2), (8, 0, 2), (9, 0, 3), (8, 3, 1)],
+)
+def test_at_most_a_third_of_a_shard_is_ejected(
+    count: int, leaving: int, ejected: int
+) -> None:
+    """Guards against a common fault that takes the whole shard out of use."""
+    shard = Shard(count)
+    shard.leaving = {worker.worker_id for worker in shard.workers[count - leaving :]}
+    for number in range(count - leaving):
+        # Each worker fails another service, so that no service fails everywhere.
+        shard.fail(number, 5, f"service-{number}")
+    assert shard.ejected() == list(range(ejected))
+    assert shard.events(Event.EJECTION_WITHHELD) == (1 if count - leaving > 1 else 0)
+
+
+def test_room_that_becomes_free_is_used_and_a_waiting_probe_keeps_its_room() -> None:
+    """Guards against a failing worker that is never ejected once the limit was hit."""
+    shard = Shard(3)
+    shard.fail(0, 3, "a")
+    shard.fail(1, 3, "b")
+    shard.clock.ms = 5_000
+    shard.fail(1, 1, "b")
+    assert shard.ejected() == []
+    assert shard.probe(0)
+    shard.serve(0)
+    shard.fail(1, 1, "b")
+    assert shard.ejected() == [1]
+
+
+@pytest.mark.parametrize(
+    ("failures", "ejected", "failing"),
+    [
+        # Failures on 3 workers count against none, also those that came before.
+        ([(0, 3), (1, 3), (2, 1)], [], 1),
+        ([(0, 1), (1, 1), (2, 9)], [], 1),
+        # Failures on 2 workers may be those of the workers.
+        ([(0, 3), (1, 3), (0, 1)], [0, 1], 0),
+        # The other workers have failed too long ago, or the service succeeded since.
+        ([(0, 1), (1, 1), "wait", (2, 3)], [2], 0),
+        ([(0, 1), (1, 1), "success", (2, 3)], [2], 0),
+    ],
+)
+def test_service_that_fails_everywhere_ejects_nobody(
+    failures: Sequence[tuple[int, int] | str], ejected: list[int], failing: int
+) -> None:
+    """Guards against ejections for the fault of a service."""
+    shard = Shard()
+    for item in failures:
+        if item == "wait":
+            shard.clock.ms += 10_001
+        elif item == "success":
+            shard.serve(7, service="offer")
+        else:
+            shard.fail(int(item[0]), int(item[1]))
+    assert shard.ejected() == ejected
+    assert shard.events(Event.SERVICE_FAILING) == failing
+    shard.serve(7, service="offer")
+    assert shard.events(Event.SERVICE_RECOVERED) == failing
+
+
+def test_worker_is_ejected_for_other_services_while_one_fails_everywhere() -> None:
+    """Guards against a failing service that hides a failing worker."""
+    shard = Shard()
+    for number in (1, 2, 0):
+        shard.fail(number)
+    shard.fail(0, 2, "price-check")
+    assert shard.ejected() == []
+    shard.fail(0, 1, "price-check")
+    assert shard.ejected() == [0]
+
+
+@pytest.mark.parametrize(
+    ("others", "latency_ms", "times", "ejected"),
+    [
+        ([20] * 7, 60, 20, [0]),
+        ([20] * 7, 59, 20, []),
+        ([20] * 7, 60, 19, []),
+        # Very short latencies differ by a factor without harm.
+        ([1] * 7, 10, 20, []),
+        ([1] * 7, 11, 20, [0]),
+        # One other slow worker does not raise the comparison.
+        ([200, 20, 20, 20, 20, 20, 20], 60, 20, [1, 0]),
+        ([58, 58, 20, 20, 20, 20, 20], 60, 20, [0]),
+        # Nothing to compare with.
+        ([], 500, 20, []),
+    ],
+)
+def test_worker_that_is_three_times_slower_is_ejected(
+    others: list[int], latency_ms: int, times: int, ejected: list[int]
+) -> None:
+    """Guards against a slow worker that keeps its requests, and one called slow."""
+    shard = Shard()
+    for number, other_ms in reversed(list(enumerate(others, 1))):
+        shard.serve(number, other_ms, 20)
+    shard.serve(0, latency_ms, times)
+    assert shard.ejected() == sorted(ejected)
+
+
+def test_old_latencies_and_those_before_an_ejection_do_not_count() -> None:
+    """Guards against a comparison of latencies under different loads."""
+    shard = Shard()
+    shard.serve(1, 20, 20)
+    shard.clock.ms = 60_001
+    shard.serve(0, 60, 20)
+    assert shard.ejected() == []
+    shard.serve(1, 20, 20)
+    shard.serve(0, 60)
+    assert shard.ejected() == [0]
+    shard.clock.ms += 5_000
+    assert shard.probe(0)
+    shard.serve(0, 20)
+    shard.serve(0, 60, 19)
+    assert shard.ejected() == []
+
+
+@pytest.mark.parametrize("is_slow", [False, True])
+def test_probes_are_single_and_failed_ones_double_the_ejection(is_slow: bool) -> None:
+    """Guards against a broken worker that is given many requests after each wait."""
+    shard = Shard()
+    shard.serve(1, 20, 20)
+
+    def spoil() -> None:
+        if is_slow:
+            shard.serve(0, 100)
+        else:
+            shard.fail(0)
+
+    for _ in range(20 if is_slow else 3):
+        spoil()
+    waits_ms = []
+    for _ in range(6):
+        since_ms = shard.clock.ms
+        # Requests that were sent before the ejection change nothing.
+        spoil()
+        shard.serve(0, 100)
+        while not shard.probe(0):
+            shard.clock.ms += 500
+        waits_ms.append(shard.clock.ms - since_ms)
+        shard.serve(1, 20, 20)
+        assert not shard.probe(0)
+        spoil()
+    assert waits_ms == [5_000, 10_000, 20_000, 40_000, 60_000, 60_000]
+    shard.clock.ms += 60_000
+    assert shard.probe(0)
+    shard.serve(0, 20)
+    assert shard.ejected() == []
+    assert shard.events(Event.WORKER_RESTORED) == 1
+
+
+def test_probe_without_an_end_is_followed_by_another() -> None:
+    """Guards against a worker that stays out of use after a probe was refused."""
+    shard = Shard()
+    shard.fail(0, 3)
+    shard.clock.ms = 5_000
+    assert shard.probe(0)
+    shard.clock.ms = 10_000
+    assert shard.probe(0)
+
+
+def test_memory_is_bounded_and_forgotten() -> None:
+    """Guards against state that grows with names of services or with the fleet."""
+    shard = Shard()
+    for number in range(8):
+        for name in range(MOST_SERVICES + 50):
+            shard.fail(number, 1, f"service-{name}")
+            shard.serve(number, 20, 30, f"other-{name}")
+    state = shard.health._shards["kista/r0"]
+    assert len(state.services) == MOST_SERVICES
+    for known in state.workers.values():
+        assert len(known.latencies) == MOST_SERVICES
+        assert all(len(item._at_ms) == 20 for item in known.latencies.values())
+    for worker in shard.workers:
+        shard.health.forget(worker.worker_id)
+    assert (shard.health._workers, shard.health._shards) == ({}, {})
+
+
+@pytest.mark.parametrize("how", ["leaves", "restarts", "shard lost"])
+def test_worker_that_begins_anew_is_forgotten(how: str) -> None:
+    """Guards against an ejection that outlives its cause, and against a leak."""
+
+    async def story(world: World) -> None:
+        node, worker_id = world.nodes["a"], world.workers[0].worker_id
+        world.fleet.workers[worker_id].fails_everything = True
+        for number in range(40):
+            await world.send("a", build_request(number), 2_000)
+        assert node.dispatcher.health.is_ejected(worker_id)
+        if how == "leaves":
+            world.listing.listings = world.listing.listings[1:]
+        elif how == "restarts":
+            world.fleet.restart(worker_id)
+        else:
+            late = world.send("a", keyed(1), 9_000)
+            world.later(0, lambda: late)
+            await world.clock.sleep_ms(10)
+            world.give("kista/r0", "c")
+        await world.clock.sleep_ms(4_000)
+        assert not node.dispatcher.health.is_ejected(worker_id)
+        assert worker_id not in node.dispatcher.health._workers
+        if how == "shard lost":
+            # The end of the run that was in progress is not noted either.
+            assert world.runs("k1") == 1
+            assert node.dispatcher.health._workers == {}
+
+    in_world(story, workers=3)
+
+
+@pytest.mark.parametrize(("percent", "most"), [(10, 1.14), (0, 1.0), (None, 5.0)])
+def test_retries_do_not_multiply_the_load_when_everything_fails(
+    percent: int | None, most: float
+) -> None:
+    """Guards against second tries that multiply the load of a failing fleet."""
+    sent = 300
+
+    async def story(world: World) -> None:
+        for worker in world.fleet.workers.values():
+            worker.fails_everything = True
+        budget = RetryBudget(percent or 0)
+        if percent is None:
+            budget.try_retry = lambda: True  # type: ignore[method-assign]
+        world.nodes["a"].forwarder._budget = budget
+        for number in range(sent):
+            reply = await world.send("a", build_request(number), 60_000)
+            assert reply.is_err()
+        runs = world.fleet.account.request_runs.total()
+        assert sent <= runs <= most * sent
+        if percent is None:
+            assert runs > 4 * sent
+
+    in_world(story, workers=4)
+
+
+def test_tasks_of_an_instance_avoid_an_ejected_worker() -> None:
+    """Guards against tasks that are placed without regard to ejections."""
+
+    async def main() -> None:
+        parts = Instance(build_settings()).parts
+        assert parts.tasks._parts.is_ejected == parts.dispatcher.health.is_ejected
+        world = TaskWorld(2)
+        one = await world.instance()
+        ejected = {"kista-w0"}
+        one.keeper._parts = one.parts._replace(is_ejected=ejected.__contains__)
+        await one.gain()
+        assert (await one.desk.submit(build_job(), "planner")).is_ok()
+        await world.until_state("done")
+        assert world.task()["worker"] == "kista-w1"
+
+    run_virtual(main())
