Restore an ejected worker after 3 probes in a row

A worker that fails half of its runs passes one probe in two, was given ordinary requests again, and was ejected anew. The next probe follows as soon as the one before has passed.

Tests fail without the count, without its reset after a failed probe, and if the next probe waits for 5 s (scratch copy).

--- a/hyssopweir/worker_health.py
+++ b/hyssopweir/worker_health.py
@@ -13,6 +13,9 @@
 FAILURES_BEFORE_EJECTION = 3
 EJECTED_MS: Millis = 5_000
 LONGEST_EJECTION_MS: Millis = 60_000
+# A worker that fails half of its runs passes one probe in two, and three in a row less
+# often (docs/measurements.md).
+PROBES_BEFORE_RESTORE = 3
 # More workers than one in three rarely fail at once for a reason of their own.
 SHARD_PART_EJECTED = 3
 
@@ -79,6 +82,7 @@
         self.until_ms: Millis = 0
         self.is_slow = False
         self.is_probed = False
+        self.probes_passed = 0
 
     def note_latency(self, service: str, latency_ms: float, now_ms: Millis) -> None:
         latencies = _renewed(self.latencies, service, _Latencies)
@@ -131,10 +135,19 @@
     shard that was lost.
     """
 
-    def __init__(self, fleet: ShardWorkers, clock: Clock, log: EventLog) -> None:
+    def __init__(
+        self,
+        fleet: ShardWorkers,
+        clock: Clock,
+        log: EventLog,
+        probes: int = PROBES_BEFORE_RESTORE,
+        longest_ms: Millis = LONGEST_EJECTION_MS,
+    ) -> None:
         self._fleet = fleet
         self._clock = clock
         self._log = log
+        self._probes = probes
+        self._longest_ms = longest_ms
         self._workers: dict[str, _Health] = {}
         self._shards: dict[str, _Shard] = {}
 
@@ -246,7 +259,11 @@
             reason = _slowness(f"probe with {service}", latency_ms, others_ms)
             self._eject(health, shard, reason, is_slow=True)
             return
-        self._restore(health, f"a probe with {service} was answered")
+        health.probes_passed += 1
+        if health.probes_passed < self._probes:
+            health.until_ms = self._clock.now_ms()
+            return
+        self._restore(health, f"{self._probes} probes in a row were answered")
 
     def _others_ms(self, health: _Health, shard: _Shard, service: str) -> float | None:
         """Return the median of the medians of the shard's other workers."""
@@ -275,8 +292,9 @@
                     Event.EJECTION_WITHHELD, worker=worker_id, shard=name, reason=reason
                 )
             return
-        ejected_ms = min(EJECTED_MS << min(health.ejections, 10), LONGEST_EJECTION_MS)
+        ejected_ms = min(EJECTED_MS << min(health.ejections, 10), self._longest_ms)
         health.ejections += 1
+        health.probes_passed = 0
         health.until_ms = now_ms + ejected_ms
         health.is_slow = is_slow
         # Only what is measured after the ejection may count against the worker again.
@@ -310,7 +328,7 @@
         if health is None or not health.ejections:
             return False
         # One that is not probed for long gets no requests anyway.
-        return self._clock.now_ms() < health.until_ms + LONGEST_EJECTION_MS
+        return self._clock.now_ms() < health.until_ms + self._longest_ms
 
     def _restore(self, health: _Health, reason: str) -> None:
         health.failures.clear()
--- a/tests/test_worker_health.py
+++ b/tests/test_worker_health.py
@@ -9,7 +9,7 @@
 from hyssopweir.fleet import Worker
 from hyssopweir.instance import Instance
 from hyssopweir.retries import RetryBudget
-from hyssopweir.worker_health import MOST_SERVICES, WorkerHealth
+from hyssopweir.worker_health import MOST_SERVICES, PROBES_BEFORE_RESTORE, WorkerHealth
 
 from .builders import build_job, build_log, build_request, build_settings, build_workers
 from .request_world import World, in_world, keyed
@@ -58,6 +58,13 @@
             self.health.note_chosen(worker_id)
         return is_open
 
+    def restore(self, number: int) -> None:
+        """Let the probes of an ejected worker pass, one after the other."""
+        for _ in range(PROBES_BEFORE_RESTORE):
+            assert self.probe(number)
+            assert not self.probe(number)
+            self.serve(number)
+
     def ejected(self) -> list[int]:
         ids = [worker.worker_id for worker in self.workers]
         return [n for n, name in enumerate(ids) if self.health.is_ejected(name)]
@@ -91,8 +98,7 @@
     shard.clock.ms = 5_000
     shard.fail(1, 1, "b")
     assert shard.ejected() == []
-    assert shard.probe(0)
-    shard.serve(0)
+    shard.restore(0)
     shard.fail(1, 1, "b")
     assert shard.ejected() == [1]
 
@@ -177,8 +183,7 @@
     shard.serve(0, 60)
     assert shard.ejected() == [0]
     shard.clock.ms += 5_000
-    assert shard.probe(0)
-    shard.serve(0, 20)
+    shard.restore(0)
     shard.serve(0, 60, 19)
     assert shard.ejected() == []
 
@@ -211,12 +216,27 @@
         spoil()
     assert waits_ms == [5_000, 10_000, 20_000, 40_000, 60_000, 60_000]
     shard.clock.ms += 60_000
-    assert shard.probe(0)
-    shard.serve(0, 20)
-    assert shard.ejected() == []
+    shard.restore(0)
+    assert not shard.ejected()
     assert shard.events(Event.WORKER_RESTORED) == 1
 
 
+def test_probes_must_pass_in_a_row() -> None:
+    """Guards against a worker that fails half of its runs and passes a single probe."""
+    shard = Shard()
+    shard.fail(0, 3)
+    shard.clock.ms = 5_000
+    for is_last in (False, False, True):
+        assert shard.probe(0)
+        shard.fail(0) if is_last else shard.serve(0)
+    assert not shard.probe(0)
+    shard.clock.ms = 15_000
+    shard.restore(0)
+    # The next requests need not wait for each other.
+    assert shard.probe(0)
+    assert shard.probe(0)
+
+
 def test_probe_without_an_end_is_followed_by_another() -> None:
     """Guards against a worker that stays out of use after a probe was refused."""
     shard = Shard()
