--- a/tests/test_worker_health.py
+++ b/tests/test_worker_health.py
@@ -1,14 +1,19 @@
 """Ejection of workers that fail or are slow, and what must not be held against them."""
 
+import asyncio
 from collections.abc import Sequence
+from typing import Any
 
 import pytest
+from result import Err, Result
 
 from hyssopweir.clock import Clock, Millis
+from hyssopweir.codes import Code, Failure, not_run
 from hyssopweir.events import Event
 from hyssopweir.fleet import Worker
 from hyssopweir.instance import Instance
 from hyssopweir.retries import RetryBudget
+from hyssopweir.worker_client import RunReport
 from hyssopweir.worker_health import MOST_SERVICES, PROBES_BEFORE_RESTORE, WorkerHealth
 
 from .builders import build_job, build_log, build_request, build_settings, build_workers
@@ -319,6 +324,26 @@
     in_world(story, workers=4)
 
 
+@pytest.mark.parametrize("code", [Code.WORKER_FULL, Code.WORKER_UNREACHABLE])
+def test_tries_on_other_workers_do_not_multiply_the_load(code: Code) -> None:
+    """Guards against requests that each try several workers while all refuse."""
+    calls: list[str] = []
+
+    async def refuse(worker: Worker, *args: Any) -> Result[RunReport, Failure]:
+        calls.append(worker.worker_id)
+        return Err(not_run(code, "refused"))
+
+    async def story(world: World) -> None:
+        for node in world.nodes.values():
+            node.client.execute = refuse  # type: ignore[method-assign]
+        sends = [world.send("a", build_request(number), 2_000) for number in range(300)]
+        assert all(reply.is_err() for reply in await asyncio.gather(*sends))
+        # A worker that refused counts as full until it has answered a claim or watch.
+        assert len(calls) <= 100
+
+    in_world(story, workers=8)
+
+
 def test_tasks_of_an_instance_avoid_an_ejected_worker() -> None:
     """Guards against tasks that are placed without regard to ejections."""
 
