Keep a worker ejected on which more than one service failed

When a service turned out to fail everywhere, every worker that had been ejected with a failure of it was restored, also one on which other services had failed too. It is now restored only if all its counted failures were those of that service. The new test fails without the condition.

--- a/hyssopweir/worker_health.py
+++ b/hyssopweir/worker_health.py
@@ -239,7 +239,7 @@
             kept = [name for name in health.failures if name != service]
             health.failures.clear()
             health.failures.extend(kept)
-            if health.ejections and not health.is_slow:
+            if health.ejections and not kept and not health.is_slow:
                 self._restore(health, f"{service} fails on other workers too")
 
     def _note_recovery(self, name: str, shard: _Shard, service: str) -> None:
--- a/tests/test_worker_health.py
+++ b/tests/test_worker_health.py
@@ -150,6 +150,16 @@
     assert shard.ejected() == [0]
 
 
+def test_worker_that_failed_several_services_stays_ejected() -> None:
+    """Guards against a failing worker that is restored when one service fails."""
+    shard = Shard()
+    shard.fail(0, 2, "price-check")
+    for number in range(3):
+        shard.fail(number)
+    assert shard.events(Event.SERVICE_FAILING) == 1
+    assert shard.ejected() == [0]
+
+
 @pytest.mark.parametrize(
     ("others", "latency_ms", "times", "ejected"),
     [
