--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 READY := $(VENV)/.ready
 BINARY ?= dist/hyssopweir
-SOURCES := hyssopweir tests benchmarks
+SOURCES := hyssopweir tests benchmarks experiments
 
 .PHONY: demo test check format binary bench soak clean
 
