Throttle, save and evict tasks that make services slow

Cause: nothing reacted when a service was slower than its target on a worker that also ran tasks; latency targets and the weights were recorded only.

Latencies come from the dispatcher, targets and weights from the configuration in force. Until the learned model is connected (`TaskKeeper(model_of=...)`), harm is in proportion to the cores of the task. A new owner gives each run that it adopts all its processors. Placement prefers workers without pressure; otherwise the closest fit would be the worker that the task was just evicted from. `services.latency_target_ms`, `weights.tail_latency` and `weights.evictions` now act.

Conclusion: the steps, their limits and their ends work in virtual time; their effect on latency and throughput is not measured here.

--- a/hyssopweir/dispatch.py
+++ b/hyssopweir/dispatch.py
@@ -1,7 +1,7 @@
 """Queue and execution of requests at the owner of a shard."""
 
 import asyncio
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 from itertools import count
 from typing import Any, TypeVar
 
@@ -63,6 +63,7 @@
 MOST_TRIES = 5
 
 T = TypeVar("T")
+LatencyHandler = Callable[[Worker, str, float], None]
 
 
 class Dispatcher(Service):
@@ -109,6 +110,7 @@
         )
         self._sequence = count(1)
         self._latency_ms = LatencyAverages()
+        self._latency_handlers: list[LatencyHandler] = []
         self._running: set[asyncio.Task[Any]] = set()
         self._notes = LoadNotes(peers, clock)
         peers.register(EXECUTE, self._serve_execute)
@@ -119,6 +121,10 @@
         """Return the number of requests and of key records in progress."""
         return len(self._running)
 
+    def on_latency(self, handler: LatencyHandler) -> None:
+        """Call ``handler`` with worker, service and latency (ms) of each answer."""
+        self._latency_handlers.append(handler)
+
     async def execute(
         self,
         req: Request,
@@ -334,7 +340,7 @@
         fence: Fence,
     ) -> Result[Answer, Failure] | Failure:
         req = work.req
-        started_ms = self._clock.now_ms()
+        started_ms = work.sent_at_ms = self._clock.now_ms()
         run = RequestRun(
             work.run_id,
             req.request_id,
@@ -413,6 +419,10 @@
         """Free the slot of a run whose end is certain, and record the end."""
         self._ledger.release(worker.worker_id, work.run_id)
         held_ms = self._clock.now_ms() - work.granted_at_ms
+        if report.state is RunState.DONE:
+            latency_ms = self._clock.now_ms() - work.sent_at_ms
+            for handler in self._latency_handlers:
+                handler(worker, work.req.service, latency_ms)
         if report.state is RunState.NEVER_SEEN:
             return not_run(Code.WORKER_REFUSED, "the worker never received the run")
         if work.row is not None:
--- a/hyssopweir/evictions.py
+++ b/hyssopweir/evictions.py
@@ -1,5 +1,7 @@
 """Eviction, checkpoint and cancellation of tasks, each ended by the worker's word."""
 
+from typing import Any
+
 from result import Err, Ok, Result
 
 from hyssopweir.codes import Code, Failure
@@ -24,7 +26,12 @@
         self._records = records
         self._settler = settler
 
-    async def evict(self, entry: Entry, why: str) -> Result[None, Failure]:
+    async def evict(
+        self,
+        entry: Entry,
+        why: str,
+        figures: dict[str, Any] | None = None,
+    ) -> Result[None, Failure]:
         """Record ``evicting``, save a checkpoint, stop the run, and queue the task.
 
         ``Ok`` means that the end of the run is confirmed and recorded. A run that ends
@@ -34,7 +41,7 @@
             text = f"run {entry.row['run']} on {entry.worker_id} is evicted: {why}"
             reply = await self._records.change(
                 entry,
-                self._records.reason(Event.TASK_EVICTING, text),
+                self._records.reason(Event.TASK_EVICTING, text, figures),
                 state=TaskState.EVICTING.value,
             )
             if isinstance(reply, Err):
--- a/hyssopweir/explain.py
+++ b/hyssopweir/explain.py
@@ -30,6 +30,8 @@
     Event.TASK_MOVED.name: "It was moved to another rack",
     Event.TASK_EVICTING.name: "It is stopped at its worker",
     Event.TASK_EVICTED.name: "It was stopped at its worker",
+    Event.TASK_THROTTLED.name: "It was slowed down",
+    Event.TASK_RESTORED.name: "It was given its full speed again",
     Event.TASK_LAPSED.name: "It lost its worker",
     Event.TASK_FAILED.name: "An attempt failed",
     Event.TASK_HELD.name: "It was held back",
--- a/hyssopweir/instance.py
+++ b/hyssopweir/instance.py
@@ -33,6 +33,7 @@
     HttpTableService,
 )
 from hyssopweir.platform_services import InstanceList, ObjectStore
+from hyssopweir.pressure import policy_of
 from hyssopweir.readiness import LONGEST_PAUSE_MS, TICK_MS, Readiness
 from hyssopweir.retries import RetryBudget
 from hyssopweir.routing import ShardRouter
@@ -186,6 +187,7 @@
             self.peers,
             self.free_task_slots,
             self.quota_of,
+            lambda: policy_of(self.configuration.body),
         )
         self.jobs = JobDesk(
             self.store, self.peers, self.tasks, self.free_task_slots, clock, log
@@ -203,6 +205,7 @@
         self.ownership.on_lost(self.links.shard_lost)
         self.ownership.on_lost(self.dispatcher.shard_lost)
         self.ownership.on_lost(self._release_workers)
+        self.dispatcher.on_latency(self.tasks.note_latency)
         self.links.on_inventory(self.tasks.take_inventory)
         self.links.on_restarted(self.tasks.worker_restarted)
         self.ledger.on_free(self.tasks.slot_freed)
--- a/hyssopweir/placement.py
+++ b/hyssopweir/placement.py
@@ -40,6 +40,7 @@
     leaving: bool = False
     ready: bool = True
     failures: int = 0
+    is_pressed: bool = False
 
 
 class Verdict(Enum):
@@ -148,14 +149,15 @@
     return next((why for holds, why in checks if holds), None)
 
 
-def _rank(demand: Demand, candidate: Candidate) -> tuple[int, int, float, str]:
-    """Prefer workers without failures, then the least capacity left over."""
+def _rank(demand: Demand, candidate: Candidate) -> tuple[bool, int, int, float, str]:
+    """Prefer workers without pressure and failures, then the least capacity left."""
     worker = candidate.worker
     # The list may show a worker without a size, which the smallest tasks still fit.
     cores, memory_gb = max(worker.cores, TOLERANCE), max(worker.memory_gb, TOLERANCE)
     left_cores = (candidate.free_cores - demand.cores) / cores
     left_memory = (candidate.free_memory_gb - demand.memory_gb) / memory_gb
     return (
+        candidate.is_pressed,
         candidate.failures,
         candidate.free_accelerators - demand.accelerators,
         round(left_cores + left_memory, 9),
--- a/hyssopweir/plan_accounts.py
+++ b/hyssopweir/plan_accounts.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterator
 from typing import Any
 
+from hyssopweir.clock import SECOND_MS, Millis
 from hyssopweir.intents import (
     NOTED_FIELDS,
     NOUNS,
@@ -10,6 +11,7 @@
     FleetFacts,
     changes_between,
 )
+from hyssopweir.pressure import policy_of
 
 TITLES = {
     "changes": "What changes",
@@ -21,8 +23,11 @@
 ENFORCED_FIELDS = frozenset(
     {
         "services.idempotent",
+        "services.latency_target_ms",
         "services.urgent",
         "teams.quota_slots",
+        "weights.evictions",
+        "weights.tail_latency",
         "retired_workers",
     }
 )
@@ -85,6 +90,15 @@
                 f"Requests to service {name} go before others in the queue; others "
                 "wait longer when slots are short, by how much is not known."
             )
+        if (wish or {}).get("latency_target_ms") is not None:
+            target_ms = wish["latency_target_ms"]
+            yield (
+                f"Where service {name} takes more than {target_ms} ms on a worker for "
+                "some seconds, batch tasks there are throttled, then saved, then "
+                "evicted."
+            )
+    if not {"tail_latency", "evictions"}.isdisjoint(intent.get("weights", {})):
+        yield _eviction_delay(policy_of(body).eviction_delay_ms)
     for name, wish in intent.get("batch", {}).items():
         paused = wish is not None and body["batch"][name].get("paused")
         if paused and "batch.paused" in ENFORCED_FIELDS:
@@ -95,6 +109,16 @@
             yield f"Starts of team {name} stop at {quota} slots; none is evicted."
 
 
+def _eviction_delay(delay_ms: Millis | None) -> str:
+    if delay_ms is None:
+        return "No task is evicted because a service is slow, as tail_latency is 0."
+    return (
+        "A task that makes a service slow is evicted after "
+        f"{delay_ms / SECOND_MS:g} s of pressure since its work was saved, at most 2 "
+        "in a minute and rack."
+    )
+
+
 def _recorded_only(intent: Body) -> Iterator[str]:
     for section, noun in NOUNS.items():
         for name, wish in intent.get(section, {}).items():
@@ -110,8 +134,16 @@
                     f"{', '.join(fields)}: recorded, but this version does not act on "
                     "it."
                 )
-    if "weights" in intent:
-        yield "That weights change placement: this version does not act on them."
+    idle = [
+        name
+        for name in intent.get("weights", {})
+        if f"weights.{name}" not in ENFORCED_FIELDS
+    ]
+    if idle:
+        yield (
+            f"That the weight {', '.join(idle)} changes anything: recorded, but this "
+            "version does not act on it."
+        )
 
 
 def _not_promised(intent: Body, body: Body, facts: FleetFacts) -> Iterator[str]:
--- a/hyssopweir/request_work.py
+++ b/hyssopweir/request_work.py
@@ -31,6 +31,7 @@
         self.tries = 0
         self.granted = False
         self.granted_at_ms: Millis = 0
+        self.sent_at_ms: Millis = 0
 
 
 def is_refusal(failure: Failure) -> bool:
--- a/hyssopweir/task_queue.py
+++ b/hyssopweir/task_queue.py
@@ -63,6 +63,7 @@
         self._elsewhere: dict[str, int] = {}
         self._waiting: dict[Demand, Choice] = {}
         self.leaving: set[str] = set()
+        self.is_pressed: Callable[[str], bool] = lambda worker_id: False
 
     def place(self) -> None:
         """Decide on every queued task; nothing is started while the table is down."""
@@ -128,6 +129,7 @@
             self._parts.links.fence_of(worker_id) is not None
             and self._avoid_until_ms.get(worker_id, 0) <= now_ms,
             self._placed.failures(worker_id),
+            self.is_pressed(worker_id),
         )
 
     def _is_leaving(self, worker_id: str) -> bool:
--- a/hyssopweir/task_shards.py
+++ b/hyssopweir/task_shards.py
@@ -14,6 +14,8 @@
 from hyssopweir.fleet import Worker
 from hyssopweir.loops import run_guarded
 from hyssopweir.placed import Placed
+from hyssopweir.pressure import PressureControl
+from hyssopweir.pressure_steps import PressureSteps
 from hyssopweir.task_queue import Act, FreeSlots, TaskQueue
 from hyssopweir.task_records import TaskRecords
 from hyssopweir.task_recovery import ENDED, RunSettler
@@ -46,6 +48,7 @@
         quotas: TeamQuotas,
         on_moved: Callable[[str], None],
         holds_job: Callable[[str], bool],
+        control: PressureControl,
     ) -> None:
         self.shard = shard
         self.epoch = epoch
@@ -55,6 +58,9 @@
         self._holds_job = holds_job
         self._settler = RunSettler(parts, self.records, placed)
         self._evictions = Evictions(parts, self.records, self._settler)
+        self.pressure = PressureSteps(
+            parts, self.records, self._settler, self._evictions, control
+        )
         self._queue = TaskQueue(
             parts,
             self.records,
@@ -65,6 +71,7 @@
             on_moved,
             self._spawn,
         )
+        self._queue.is_pressed = self.pressure.is_pressed
         self._signal = asyncio.Event()
         self._inventories: dict[str, tuple[Worker, Inventory]] = {}
         self._acts: set[asyncio.Task[None]] = set()
@@ -132,6 +139,7 @@
         if not self._is_loaded:
             return
         self._take_inventories()
+        self.pressure.decide()
         for entry in list(self.records.entries.values()):
             if not entry.busy:
                 self._step(entry)
@@ -230,6 +238,8 @@
             self._spawn(entry, self._evictions.finish(entry))
         elif entry.eviction is not None:
             self._spawn(entry, self._evict(entry, entry.eviction))
+        elif (act := self.pressure.next_act(entry)) is not None:
+            self._spawn(entry, act)
         elif self._is_leaving(entry.worker_id):
             self._leave(entry)
 
--- a/hyssopweir/tasks.py
+++ b/hyssopweir/tasks.py
@@ -1,6 +1,7 @@
 """Life cycle of the tasks of all shards that this instance owns."""
 
 import asyncio
+from collections.abc import Callable
 
 from mode import Service
 from result import Err, Result
@@ -9,6 +10,7 @@
 from hyssopweir.fleet import Worker
 from hyssopweir.peers import Params, PeerNetwork
 from hyssopweir.placed import Placed
+from hyssopweir.pressure import HarmModel, Policy, PressureControl
 from hyssopweir.task_queue import FreeSlots
 from hyssopweir.task_rows import Parts
 from hyssopweir.task_shards import ShardTasks
@@ -25,11 +27,15 @@
         peers: PeerNetwork,
         free_slots: FreeSlots,
         quota_of: QuotaOf,
+        policy: Callable[[], Policy] = Policy,
+        model_of: Callable[[str], HarmModel | None] = lambda shard: None,
     ) -> None:
         super().__init__()
         self._parts = parts
         self._peers = peers
         self._free_slots = free_slots
+        self._policy = policy
+        self._model_of = model_of
         self._placed = Placed()
         self._quotas = TeamQuotas(parts.store, quota_of, self, parts.clock, parts.log)
         self._shards: dict[str, ShardTasks] = {}
@@ -74,6 +80,7 @@
             self._quotas,
             self._announce,
             self._holds_job,
+            self._pressure_control(shard),
         )
         self._shards[shard] = tasks
         self._loops[shard] = asyncio.ensure_future(tasks.run())
@@ -102,6 +109,13 @@
         if worker.shard in self._shards:
             self._shards[worker.shard].take_inventory(worker, inventory)
 
+    def note_latency(self, worker: Worker, service: str, latency_ms: float) -> None:
+        """Note the latency of a request, for ``Dispatcher.on_latency``."""
+        if worker.shard in self._shards:
+            self._shards[worker.shard].pressure.control.note_latency(
+                worker.worker_id, service, latency_ms, self._parts.clock.now_ms()
+            )
+
     def worker_restarted(self, worker: Worker) -> None:
         """Decide again, for ``WorkerLinks.on_restarted``."""
         if worker.shard in self._shards:
@@ -132,6 +146,21 @@
         for shard in list(self._shards):
             self.shard_lost(shard)
 
+    def _pressure_control(self, shard: str) -> PressureControl:
+        return PressureControl(
+            self._policy,
+            lambda: self._parts.store.is_up,
+            self._load_of,
+            self._model_of(shard),
+        )
+
+    def _load_of(self, worker_id: str) -> float:
+        """Return the slots in use divided by the slots of a worker."""
+        worker = self._parts.view.worker(worker_id)
+        if worker is None:
+            return 1.0
+        return 1.0 - self._parts.slots.free(worker_id, False) / max(worker.slots, 1)
+
     def _holds_job(self, job: str) -> bool:
         return any(tasks.records.has_tasks_of(job) for tasks in self._shards.values())
 
--- a/tests/task_world.py
+++ b/tests/task_world.py
@@ -10,6 +10,7 @@
 from hyssopweir.fleet_view import FleetView
 from hyssopweir.invariants import Invariants
 from hyssopweir.jobs import JobDesk
+from hyssopweir.pressure import Policy
 from hyssopweir.slots import SlotLedger
 from hyssopweir.standin_table import StandinTable
 from hyssopweir.table import ABSENT, Delete, Operation, Put, TableStore
@@ -150,7 +151,10 @@
             timing["lease_ms"],
         )
         peers = FakePeers(world.network, session)
-        self.keeper = TaskKeeper(self.parts, peers, self.free, self.quotas.get)
+        self.policy = Policy()
+        self.keeper = TaskKeeper(
+            self.parts, peers, self.free, self.quotas.get, lambda: self.policy
+        )
         self.desk = JobDesk(self.store, peers, self.keeper, self.free, clock, log)
         self.links.on_inventory(self.keeper.take_inventory)
         self.links.on_restarted(self.keeper.worker_restarted)
