Test that a run that is being ended is not acted on

The check in `next_act` that no test could reach is removed; the order in `ShardTasks._step_live` does the same.

Conclusion: steps neither delay nor follow the end of a run.

--- a/hyssopweir/pressure_steps.py
+++ b/hyssopweir/pressure_steps.py
@@ -80,11 +80,14 @@
         return self.control.is_pressed(worker_id, self._parts.clock.now_ms())
 
     def next_act(self, entry: Entry) -> Coroutine[Any, Any, None] | None:
-        """Return the act that is due for a settled run, None if there is none."""
+        """Return the act that is due for a run, None if there is none.
+
+        The caller carries out its end, cancellation or eviction first.
+        """
         hold = self._holds.get(entry.task_id)
         if hold is None or hold.pending is None or hold.run_id != entry.run_id:
             return None
-        if not _is_open(entry) or hold.retry_ms > self._parts.clock.now_ms():
+        if hold.retry_ms > self._parts.clock.now_ms():
             return None
         return self._carry_out(entry, hold, hold.pending)
 
--- a/tests/test_pressure.py
+++ b/tests/test_pressure.py
@@ -7,7 +7,9 @@
 from typing import Any
 
 import pytest
+from result import Err
 
+from hyssopweir.codes import Code, not_run, unknown
 from hyssopweir.contracts import Reason
 from hyssopweir.events import Event
 from hyssopweir.explain import explain_job
@@ -118,6 +120,8 @@
     plant = Plant(always, {f"w{n}": build_tasks(6, f"{n}/") for n in range(8)})
     plant.may_evict = False
     assert {step for _, step, _ in plant.run(60)} == {"throttle", "checkpoint"}
+    for tasks in plant.tasks.values():
+        assert sum(task.step is not None for task in tasks.values()) == 2
     plant.may_evict = True
     evicted = [at_s for at_s, step, _ in plant.run(300) if step == "evict"]
     assert len(evicted) == 2 * 5
@@ -310,6 +314,49 @@
     assert [one["text"] for one in kept] == ["0", "36", "37", "38", "39"]
 
 
+@pytest.mark.parametrize("what", ["cancel", "evict"])
+def test_run_that_is_being_ended_is_not_acted_on(what: str) -> None:
+    """Guards against a step that delays the end of a run, or follows it."""
+
+    async def story(site: Site) -> None:
+        one, calls, stop = site.one, [], site.one.client.stop
+
+        async def refuse(*args: Any) -> Any:
+            calls.append(len(args))
+            return Err(unknown(Code.WORKER_UNREACHABLE, "no answer"))
+
+        one.client.throttle = one.client.stop = refuse  # type: ignore
+        await site.world.until(lambda: len(calls) > 0)
+        if what == "cancel":
+            await one.desk.cancel("price-watch")
+        else:
+            await one.keeper.evict("price-watch/0", "a test asks for it")
+        throttled = calls.count(4)
+        await site.world.clock.sleep_ms(10_000)
+        assert (calls.count(4), calls.count(3) > 3) == (throttled, True)
+        one.client.stop = stop  # type: ignore[method-assign]
+
+    play(story)
+
+
+def test_task_that_can_not_be_saved_is_not_evicted() -> None:
+    """Guards against the loss of all work, and a step that is tried for ever."""
+
+    async def story(site: Site) -> None:
+        tries = []
+
+        async def refuse(*args: Any) -> Any:
+            tries.append(args)
+            return Err(not_run(Code.WORKER_REFUSED, "no checkpoints"))
+
+        site.one.client.checkpoint = refuse  # type: ignore[method-assign]
+        await site.world.clock.sleep_ms(40_000)
+        assert (len(tries), site.run().share) == (3, 0.5)
+        assert site.world.task()["evictions"] == 0
+
+    play(story)
+
+
 def test_nothing_is_evicted_in_an_outage() -> None:
     """Guards against a run that is stopped while its end can't be recorded."""
 
