--- a/hyssopweir/dispatch.py
+++ b/hyssopweir/dispatch.py
@@ -1,7 +1,7 @@
 """Queue and execution of requests at the owner of a shard."""
 
 import asyncio
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 from itertools import count
 from typing import Any, TypeVar
 
@@ -63,6 +63,7 @@
 MOST_TRIES = 5
 
 T = TypeVar("T")
+LatencyHandler = Callable[[Worker, str, float], None]
 
 
 class Dispatcher(Service):
@@ -111,6 +112,7 @@
         )
         self._sequence = count(1)
         self._latency_ms = LatencyAverages()
+        self._latency_handlers: list[LatencyHandler] = []
         self._running: set[asyncio.Task[Any]] = set()
         self._notes = LoadNotes(peers, clock)
         peers.register(EXECUTE, self._serve_execute)
@@ -121,6 +123,10 @@
         """Return the number of requests and of key records in progress."""
         return len(self._running)
 
+    def on_latency(self, handler: LatencyHandler) -> None:
+        """Call ``handler`` with worker, service and latency (ms) of each answer."""
+        self._latency_handlers.append(handler)
+
     async def execute(
         self,
         req: Request,
@@ -416,6 +422,9 @@
         self._ledger.release(worker.worker_id, work.run_id)
         now_ms = self._clock.now_ms()
         held_ms, latency_ms = now_ms - work.granted_at_ms, now_ms - work.sent_at_ms
+        if report.state is RunState.DONE:
+            for handler in self._latency_handlers:
+                handler(worker, work.req.service, latency_ms)
         if report.state is RunState.NEVER_SEEN:
             return not_run(Code.WORKER_REFUSED, "the worker never received the run")
         if work.row is not None:
--- a/hyssopweir/task_queue.py
+++ b/hyssopweir/task_queue.py
@@ -63,6 +63,7 @@
         self._elsewhere: dict[str, int] = {}
         self._waiting: dict[Demand, Choice] = {}
         self.leaving: set[str] = set()
+        self.is_pressed: Callable[[str], bool] = lambda worker_id: False
 
     def place(self) -> None:
         """Decide on every queued task; nothing is started while the table is down."""
@@ -129,6 +130,7 @@
             and self._avoid_until_ms.get(worker_id, 0) <= now_ms,
             self._placed.failures(worker_id),
             self._parts.is_ejected(worker_id),
+            self.is_pressed(worker_id),
         )
 
     def _is_leaving(self, worker_id: str) -> bool:
