--- a/hyssopweir/dispatch.py
+++ b/hyssopweir/dispatch.py
@@ -361,7 +361,8 @@
             rank = self._latency_ms.note(worker.worker_id, latency_ms)
             self._ledger.set_rank(worker.worker_id, rank)
             # A failure may come at once and says nothing about the time.
-            if reply.ok_value.state is RunState.DONE:
+            is_done = reply.ok_value.state is RunState.DONE
+            if is_done and self._ownership.epoch_of(work.shard) is not None:
                 self._measurements.request_ended(worker, req.service, started_ms, load)
             return await self._conclude(work, worker, reply.ok_value)
         if isinstance(reply, Err) and reply.err_value.outcome is Outcome.RAN:
--- a/tests/test_plans.py
+++ b/tests/test_plans.py
@@ -11,6 +11,7 @@
 from hyssopweir.codes import Code, Failure, Outcome, unknown
 from hyssopweir.configuration import CURRENT
 from hyssopweir.intents import FleetFacts
+from hyssopweir.plan_accounts import ENFORCED_FIELDS, make_account
 from hyssopweir.plans import QUESTION_FORMS, PlanDesk
 from hyssopweir.standin_table import StandinTable
 from hyssopweir.table import ABSENT, Operation, Put, TableStore
@@ -243,6 +244,16 @@
     assert expected in run_site(act)
 
 
+def test_account_says_what_weights_act_on() -> None:
+    """Guards against a weight that is said to act and does not, or the reverse."""
+    weights = {"tail_latency": 3, "batch_throughput": 1, "evictions": 2}
+    body = {**BASE, "weights": weights}
+    account = make_account({"weights": weights}, BASE, body, FACTS)
+    assert "slowdown of services 3 times against" in account["expected"][-1]
+    said = any("weight of evictions" in line for line in account["not_promised"])
+    assert said == ("weights.evictions" not in ENFORCED_FIELDS)
+
+
 @pytest.mark.parametrize("question", ["", "why", "why not", "why version new"])
 def test_unknown_question_lists_what_can_be_asked(question: str) -> None:
     """Guards against a guess in place of an answer."""
