--- a/tests/test_measurements.py
+++ b/tests/test_measurements.py
@@ -103,6 +103,11 @@
     in_world(story)
 
 
+def running_on(world: World, one: Instance) -> dict[str, int]:
+    now = one.measurements.colocation.now
+    return {name: n for name in world.fleet.workers for n in now(name).values()}
+
+
 async def finish(world: World, one: Instance, name: str, **fields: Any) -> str:
     """Run a job to its end and return its explanation."""
     reply = await one.desk.submit(build_job(name, kind="repaint", **fields), "buyer")
@@ -142,7 +147,10 @@
             await world.clock.sleep_ms(after_ms)
             rows = [world.task("paint", number) for number in range(10)]
             assert len({row["worker"] for row in rows} - {""}) == count
+            placed = Counter(row["worker"] for row in rows if row["worker"])
+            assert running_on(world, one) == placed
         text = await ended
+        assert running_on(world, one) == {}
         assert says in text
         waited = "gets no task of kind repaint yet, because one runs on" in text
         assert waited == (early == 1)
@@ -151,6 +159,26 @@
     run_virtual(run())
 
 
+def test_new_owner_knows_the_adopted_tasks() -> None:
+    """Guards against requests beside adopted tasks that are taken to run alone."""
+
+    async def run() -> None:
+        world = World()
+        one, two = [await world.instance(name) for name in ("one", "two")]
+        await one.gain()
+        ended = asyncio.create_task(finish(world, one, "paint", run_ms=20_000))
+        await world.until_state("running", "paint")
+        one.lost(SHARD, 1)
+        await two.gain()
+        await world.clock.sleep_ms(2_000)
+        assert running_on(world, one) == {}
+        assert running_on(world, two) == {world.task("paint")["worker"]: 1}
+        await ended
+        assert running_on(world, two) == {}
+
+    run_virtual(run())
+
+
 def test_lost_shard_and_restarted_worker_are_forgotten() -> None:
     """Guards against runs of a former owner or incarnation that count for ever."""
 
