--- a/experiments/routing.py
+++ b/experiments/routing.py
@@ -12,9 +12,12 @@
 from typing import NamedTuple, Protocol
 
 from hyssopweir.clock import SECOND_MS, Clock, Millis
+from hyssopweir.colocation import Colocation
 from hyssopweir.events import EventLog
 from hyssopweir.fleet import Worker
+from hyssopweir.interference import Interference
 from hyssopweir.invariants import Invariants
+from hyssopweir.measurements import Measurements
 from hyssopweir.routing import LatencyAverages, choose_worker
 from hyssopweir.slots import SlotLedger
 from hyssopweir.worker_health import WorkerHealth
@@ -238,6 +241,9 @@
         self.rng = rng
         self.ledger = SlotLedger(Invariants(clock, EventLog("model", SHARD, clock)), 2)
         self.latency_ms = LatencyAverages()
+        self.measurements = Measurements(
+            Colocation(), Interference(), self.ledger, clock
+        )
         self.turn = count()
         self.workers = [
             Worker(f"w{number}", "", 0, "model", "r0", 32.0, 125.0)
@@ -260,33 +266,39 @@
 
 
 Eligible = Callable[[str], bool]
-Choice = Callable[[Shard, list[str]], str]
+Choice = Callable[[Shard, list[str], str], str]
 
 
-def at_random(shard: Shard, names: list[str]) -> str:
+def at_random(shard: Shard, names: list[str], service: str) -> str:
     return shard.rng.choice(names)
 
 
-def round_robin(shard: Shard, names: list[str]) -> str:
+def round_robin(shard: Shard, names: list[str], service: str) -> str:
     names = sorted(names)
     return names[next(shard.turn) % len(names)]
 
 
-def least_in_flight(shard: Shard, names: list[str]) -> str:
+def least_in_flight(shard: Shard, names: list[str], service: str) -> str:
     return min(names, key=lambda n: (shard.ledger.in_flight(n), shard.rng.random()))
 
 
-def two_random(shard: Shard, names: list[str]) -> str:
+def two_random(shard: Shard, names: list[str], service: str) -> str:
     pair = shard.rng.sample(names, min(2, len(names)))
     return min(pair, key=shard.ledger.in_flight)
 
 
-def lowest_expected_time(shard: Shard, names: list[str]) -> str:
+def lowest_expected_time(shard: Shard, names: list[str], service: str) -> str:
     return min(names, key=lambda n: (shard.expected_ms(n), shard.rng.random()))
 
 
-def real_choice(shard: Shard, names: list[str]) -> str:
-    chosen = choose_worker(shard.ledger, SHARD, names.__contains__)
+def least_in_flight_then_latency(shard: Shard, names: list[str], service: str) -> str:
+    """Choose as ``choose_worker`` did before it used expected times."""
+    return next(name for name in shard.ledger.ranked(SHARD) if name in names)
+
+
+def real_choice(shard: Shard, names: list[str], service: str) -> str:
+    expected_ms = shard.measurements.expected_ms(SHARD, service)
+    chosen = choose_worker(shard.ledger, SHARD, names.__contains__, expected_ms)
     assert chosen is not None
     return chosen
 
@@ -303,6 +315,7 @@
     "round robin": Rule(round_robin),
     "least in flight": Rule(least_in_flight),
     "two random choices": Rule(two_random),
+    "least in flight, then latency": Rule(least_in_flight_then_latency),
     "`choose_worker`": Rule(real_choice),
     "lowest expected time": Rule(lowest_expected_time),
     "the same, latencies of successes only": Rule(lowest_expected_time, False),
@@ -427,7 +440,8 @@
             ]
             if not names:
                 return
-            self._start(self._queue.popleft(), self._rule.choose(shard, names))
+            req = self._queue.popleft()
+            self._start(req, self._rule.choose(shard, names, req.service.name))
 
     def _start(self, req: Arrived, name: str) -> None:
         shard, number = self._shard, int(name[1:])
@@ -446,11 +460,17 @@
             slow = SLOW if is_faulty and number in self._scenario.slow else 1.0
             latency_ms = req.service.base_ms * SPEEDS[number] * noise * slow
             latency_ms *= 1 + CROWDING * crowd
-        worker = shard.workers[number]
-        self._at(
-            self._clock.at_ms + latency_ms,
-            lambda: self._end(req, worker, run_id, latency_ms, fails),
-        )
+        worker, load = shard.workers[number], shard.ledger.load(name)
+        started_ms = self._clock.now_ms()
+
+        def end() -> None:
+            if not fails:
+                shard.measurements.request_ended(
+                    worker, req.service.name, started_ms, load
+                )
+            self._end(req, worker, run_id, latency_ms, fails)
+
+        self._at(self._clock.at_ms + latency_ms, end)
 
     def _end(
         self, req: Arrived, worker: Worker, run_id: str, latency_ms: float, fails: bool
--- a/hyssopweir/plan_accounts.py
+++ b/hyssopweir/plan_accounts.py
@@ -4,6 +4,7 @@
 from typing import Any
 
 from hyssopweir.clock import SECOND_MS, Millis
+from hyssopweir.harm import harm_weight
 from hyssopweir.intents import (
     NOTED_FIELDS,
     NOUNS,
@@ -26,11 +27,14 @@
         "services.latency_target_ms",
         "services.urgent",
         "teams.quota_slots",
+        "weights.batch_throughput",
         "weights.evictions",
         "weights.tail_latency",
         "retired_workers",
     }
 )
+# Fields whose ratio weighs harm to services in the placement of tasks.
+HARM_WEIGHTS = frozenset({"tail_latency", "batch_throughput"})
 
 
 def make_account(
@@ -107,6 +111,11 @@
         quota = None if wish is None else body["teams"][name].get("quota_slots")
         if quota is not None:
             yield f"Starts of team {name} stop at {quota} slots; none is evicted."
+    if HARM_WEIGHTS & intent.get("weights", {}).keys():
+        yield (
+            "Placement counts the predicted slowdown of services "
+            f"{harm_weight(body['weights']):g} times against the fit of the task."
+        )
 
 
 def _eviction_delay(delay_ms: Millis | None) -> str:
@@ -134,16 +143,12 @@
                     f"{', '.join(fields)}: recorded, but this version does not act on "
                     "it."
                 )
-    idle = [
-        name
-        for name in intent.get("weights", {})
-        if f"weights.{name}" not in ENFORCED_FIELDS
-    ]
-    if idle:
-        yield (
-            f"That the weight {', '.join(idle)} changes anything: recorded, but this "
-            "version does not act on it."
-        )
+    for name in intent.get("weights", {}):
+        if f"weights.{name}" not in ENFORCED_FIELDS:
+            yield (
+                f"That the weight of {name} changes anything: recorded, but this "
+                "version does not act on it."
+            )
 
 
 def _not_promised(intent: Body, body: Body, facts: FleetFacts) -> Iterator[str]:
--- a/tests/test_pressure.py
+++ b/tests/test_pressure.py
@@ -9,6 +9,7 @@
 import pytest
 from result import Err
 
+from hyssopweir.clock import Millis
 from hyssopweir.codes import Code, not_run, unknown
 from hyssopweir.contracts import Reason
 from hyssopweir.events import Event
@@ -17,6 +18,7 @@
 from hyssopweir.plan_accounts import make_account
 from hyssopweir.pressure import Policy, PressureControl, RunningTask, Step
 from hyssopweir.pressure_steps import _thinned
+from hyssopweir.standin_workers import StandinWorker
 from hyssopweir.worker_client import RunState
 
 from .builders import build_job
@@ -414,6 +416,16 @@
     play(story)
 
 
+class SlowBesideTasks(dict[str, Millis]):
+    """Give the time of a request at a worker, which depends on the tasks there."""
+
+    def __init__(self, worker: StandinWorker) -> None:
+        self._worker = worker
+
+    def get(self, service: str, default: Any = None) -> Millis:
+        return 40 if any(run.is_task for run in self._worker.live_runs()) else 5
+
+
 def test_slow_requests_lead_to_the_steps_in_a_whole_instance() -> None:
     """Guards against parts that are not joined: dispatch, configuration, tasks."""
 
@@ -422,6 +434,8 @@
         await system.clock.sleep_ms(10_000)
         keeper, spec = node.parts.configuration, build_job(tasks=24, run_ms=60_000)
         service = {"idempotent": True, "latency_target_ms": 10}
+        for worker in system.fleet.workers.values():
+            worker.service_ms = SlowBesideTasks(worker)
         body: Any = {"services": {"price-check": service}}
         await node.process.spawn(keeper.change(body, keeper.version))
         await node.process.spawn(node.parts.jobs.submit(spec, "buyer"))
