Read the list of all workers only for a task that no worker fits

Each placement copied the list of all workers, although only a task that no worker of the shard can ever run needs it, so that the time of a placement grew with the fleet. choose() now takes a function that returns the list.

--- a/benchmarks/decisions.py
+++ b/benchmarks/decisions.py
@@ -154,13 +154,16 @@
 def _place(workers: list[Worker], repeats: int, seed: int) -> float:
     candidates = _candidates(workers)
     known = {worker.worker_id: worker for worker in workers}
-    # The copy of the fleet is a part of each decision of ``TaskQueue``.
     return spent_us(
-        lambda _: choose(DEMAND, candidates, (), list(known.values())), 1, repeats
+        lambda _: choose(DEMAND, candidates, (), lambda: list(known.values())),
+        1,
+        repeats,
     )
 
 
 def _place_impossible(workers: list[Worker], repeats: int, seed: int) -> float:
     candidates = _candidates(workers)
     few = max(repeats // 20, 1)
-    return spent_us(lambda _: choose(TOO_LARGE, candidates, (), workers), 1, few)
+    return spent_us(
+        lambda _: choose(TOO_LARGE, candidates, (), lambda: workers), 1, few
+    )
--- a/hyssopweir/placement.py
+++ b/hyssopweir/placement.py
@@ -1,6 +1,6 @@
 """Choice of a worker for a task within a shard, with the reasons in plain words."""
 
-from collections.abc import Collection, Iterable, Sequence
+from collections.abc import Callable, Collection, Iterable, Sequence
 from enum import Enum
 from typing import Any, NamedTuple
 
@@ -95,12 +95,13 @@
     demand: Demand,
     candidates: Sequence[Candidate],
     failed_on: Collection[str],
-    fleet: Sequence[Worker],
+    fleet: Callable[[], Sequence[Worker]],
 ) -> Choice:
     """Choose the worker of a shard that the task fills best.
 
-    ``fleet`` holds the workers of all shards; it only decides between ``NEVER_HERE``
-    and ``NEVER``.
+    ``fleet`` returns the workers of all shards. It is called only to decide between
+    ``NEVER_HERE`` and ``NEVER``, since the copy of a large list takes longer than the
+    choice.
     """
     rejected = {
         candidate.worker.worker_id: why
@@ -116,7 +117,7 @@
     staying = [item.worker for item in candidates if not item.leaving]
     if suits(demand, staying, failed_on):
         return _waiting(demand, rejected)
-    return _impossible(demand, failed_on, fleet, rejected)
+    return _impossible(demand, failed_on, fleet(), rejected)
 
 
 def _obstacle(
--- a/hyssopweir/task_queue.py
+++ b/hyssopweir/task_queue.py
@@ -170,7 +170,7 @@
             demand,
             list(self._candidates.values()),
             failed_on,
-            self._parts.view.workers(),
+            self._parts.view.workers,
         )
         if choice.verdict is Verdict.WAIT and not failed_on:
             self._waiting[demand] = choice
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -27,7 +27,7 @@
 def decide(
     demand: Demand, *candidates: Candidate, failed_on: tuple[str, ...] = ()
 ) -> Choice:
-    return choose(demand, candidates, failed_on, FLEET)
+    return choose(demand, candidates, failed_on, lambda: FLEET)
 
 
 @pytest.mark.parametrize(
@@ -138,7 +138,7 @@
 
 def test_unread_list_proves_nothing() -> None:
     """Guards against tasks that are held because the list was not read yet."""
-    choice = choose(Demand(500.0, 1.0), [], (), [])
+    choice = choose(Demand(500.0, 1.0), [], (), list)
     assert choice.verdict is Verdict.NEVER_HERE
 
 
