Let tasks of the stand-in worker use more memory than they have

Learned sizes and out_of_memory could not be tested, since every task of a stand-in worker used exactly what it was given. The payload of a job may now say {"uses": {"cores": 2.0, "memory_gb": 6.0}}; a run that uses more memory than its limit ends as failed with out_of_memory.

--- a/hyssopweir/standin_workers.py
+++ b/hyssopweir/standin_workers.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import math
 from collections import Counter, deque
 from collections.abc import Coroutine, Iterable, Sequence
 from typing import Any, NamedTuple
@@ -129,6 +130,8 @@
         self.error = ""
         self.ended_ms: Millis = 0
         self.uses: tuple[float, float] = (0.0, 0.0)
+        self.memory_gb = math.inf
+        self.out_of_memory = False
         self._measured: deque[Usage] = deque()
         self._usage: Usage | None = None
 
@@ -152,6 +155,7 @@
             min(self.done_ms / max(self.work_ms, 1), 1.0),
             self.error,
             self._usage,
+            self.out_of_memory,
         )
 
 
@@ -272,7 +276,12 @@
         live = Run(run.run_id, True, run.run_ms)
         live.checkpoint = run.checkpoint
         live.done_ms = live.saved_ms = _saved_ms(run.checkpoint)
-        live.uses = (run.cores, run.memory_gb)
+        uses = run.payload.get("uses", {})
+        live.uses = (
+            uses.get("cores", run.cores),
+            uses.get("memory_gb", run.memory_gb),
+        )
+        live.memory_gb = run.memory_gb
         self._runs[run.run_id] = self._listed[run.run_id] = live
         self._lease_until_ms[run.run_id] = lease_until_ms
         self._account.task_started(self.worker, run.run_id)
@@ -429,7 +438,11 @@
                 return
             run.done_ms += min(TICK_MS, run.work_ms) * run.share
             run.measure(self._clock.now_ms())
-            if self.fails_everything:
+            if run.uses[1] > run.memory_gb:
+                run.error = "the task needed more memory than it was given"
+                run.out_of_memory = True
+                self._end(run, RunState.FAILED)
+            elif self.fails_everything:
                 run.error = "the task failed"
                 self._end(run, RunState.FAILED)
             elif run.done_ms >= run.work_ms:
