--- a/hyssopweir/contracts.py
+++ b/hyssopweir/contracts.py
@@ -124,7 +124,10 @@
 
 
 class TaskRow(TypedDict):
-    """Record a task, row ``tasks/<job>/<n>``."""
+    """Record a task, row ``tasks/<job>/<n>``.
+
+    ``memory_gb`` replaces the job's after a run that had too little memory.
+    """
 
     job: str
     n: int
@@ -138,6 +141,7 @@
     evictions: int
     failed_on: list[str]
     reasons: list[Reason]
+    memory_gb: NotRequired[float]
 
 
 class SessionRow(TypedDict):
--- a/hyssopweir/placed.py
+++ b/hyssopweir/placed.py
@@ -1,5 +1,6 @@
 """What this instance has placed on its workers."""
 
+from hyssopweir.estimates import Estimates
 from hyssopweir.placement import Demand
 from hyssopweir.task_rows import Entry
 
@@ -7,8 +8,9 @@
 class Placed:
     """Remember what this instance has placed on each worker, and failures there."""
 
-    def __init__(self) -> None:
-        self._runs: dict[str, dict[str, Demand]] = {}
+    def __init__(self, estimates: Estimates) -> None:
+        self._estimates = estimates
+        self._runs: dict[str, dict[str, Entry]] = {}
         self._teams: dict[str, dict[str, set[str]]] = {}
         self._workers: dict[str, set[str]] = {}
         self._failures: dict[str, int] = {}
@@ -16,7 +18,7 @@
     def add(self, entry: Entry, worker_id: str, run_id: str) -> None:
         """Count a run that starts, or that was found after a change of owner."""
         shard, team = entry.row["shard"], entry.job.spec["team"]
-        self._runs.setdefault(worker_id, {})[run_id] = entry.job.demand
+        self._runs.setdefault(worker_id, {})[run_id] = entry
         self._workers.setdefault(shard, set()).add(worker_id)
         self._teams.setdefault(shard, {}).setdefault(team, set()).add(run_id)
 
@@ -34,6 +36,10 @@
 
     def on(self, worker_id: str) -> list[Demand]:
         """Return what the runs on a worker need."""
+        return [self._estimates.of(entry) for entry in self.entries_on(worker_id)]
+
+    def entries_on(self, worker_id: str) -> list[Entry]:
+        """Return the tasks with a run on a worker."""
         return list(self._runs.get(worker_id, {}).values())
 
     def of_team(self, shard: str, team: str) -> int:
--- a/hyssopweir/placement.py
+++ b/hyssopweir/placement.py
@@ -40,6 +40,16 @@
     leaving: bool = False
     ready: bool = True
     failures: int = 0
+    reserved_for: str = ""
+
+    def without(self, demand: Demand) -> "Candidate":
+        """Return the worker as it is when a run of this size has ended."""
+        return self._replace(
+            free_cores=self.free_cores + demand.cores,
+            free_memory_gb=self.free_memory_gb + demand.memory_gb,
+            free_accelerators=self.free_accelerators + demand.accelerators,
+            free_slots=self.free_slots + 1,
+        )
 
 
 class Verdict(Enum):
@@ -60,11 +70,11 @@
     figures: dict[str, Any]
 
 
-def demand_of(spec: JobSpec) -> Demand:
-    """Return what each task of a job needs."""
+def demand_of(spec: JobSpec, memory_gb: float | None = None) -> Demand:
+    """Return the declared size; a task row's ``memory_gb`` replaces the job's."""
     return Demand(
         spec["cores"],
-        spec["memory_gb"],
+        spec["memory_gb"] if memory_gb is None else memory_gb,
         spec.get("accelerators", 0),
         spec.get("data_centre"),
     )
@@ -106,7 +116,7 @@
     rejected = {
         candidate.worker.worker_id: why
         for candidate in candidates
-        if (why := _obstacle(demand, candidate, failed_on)) is not None
+        if (why := obstacle(demand, candidate, failed_on)) is not None
     }
     fitting = [item for item in candidates if item.worker.worker_id not in rejected]
     if fitting:
@@ -120,7 +130,17 @@
     return _impossible(demand, failed_on, fleet(), rejected)
 
 
-def _obstacle(
+def leaves_room(candidate: Candidate, demand: Demand, kept: Demand) -> bool:
+    """Tell whether a worker has room for a task beside the room that is kept."""
+    return (
+        candidate.free_slots > 1
+        and candidate.free_cores + TOLERANCE >= demand.cores + kept.cores
+        and candidate.free_memory_gb + TOLERANCE >= demand.memory_gb + kept.memory_gb
+        and candidate.free_accelerators >= demand.accelerators + kept.accelerators
+    )
+
+
+def obstacle(
     demand: Demand,
     candidate: Candidate,
     failed_on: Collection[str],
@@ -133,6 +153,10 @@
         (candidate.leaving, "is leaving"),
         (not candidate.ready, "does not answer"),
         (candidate.free_slots <= 0, "has no free slot for tasks"),
+        (
+            candidate.reserved_for != "",
+            f"is reserved for {candidate.reserved_for}, which has waited longer",
+        ),
         (
             candidate.free_cores + TOLERANCE < demand.cores,
             f"has only {max(candidate.free_cores, 0):g} cores free",
--- /dev/null
+++ b/hyssopweir/preemption.py
@@ -0,0 +1,126 @@
+"""Choice of the task that is evicted for an urgent one that finds no free slot."""
+
+from collections import deque
+from collections.abc import Callable, Iterable, Mapping
+from typing import NamedTuple
+
+from hyssopweir.clock import MINUTE_MS, Clock, Millis
+from hyssopweir.contracts import TaskState
+from hyssopweir.estimates import Estimates
+from hyssopweir.placement import Candidate, Demand, obstacle
+from hyssopweir.task_rows import LIVE_STATES, Entry
+from hyssopweir.waiting import began_late, started_ms, waited_ms
+
+EVICT_AFTER_MS: Millis = 1_000
+# A new owner claims its workers within this time, and may then find free slots.
+SETTLE_MS: Millis = 250
+MOST_A_MINUTE = 6
+
+
+class Victim(NamedTuple):
+    """Hold a task to evict for an urgent one, with the work that it may lose."""
+
+    urgent: Entry
+    entry: Entry
+    run: int
+    lost_ms: Millis
+
+
+class Preemption:
+    """Evict few tasks of one shard, those that lose least work."""
+
+    def __init__(self, estimates: Estimates, clock: Clock) -> None:
+        self._estimates = estimates
+        self._clock = clock
+        self._times_ms: deque[Millis] = deque(maxlen=MOST_A_MINUTE)
+        self._victims: dict[str, Victim] = {}
+
+    def is_due(self, entry: Entry) -> bool:
+        """Tell whether a queued task is urgent and has waited for too long."""
+        now_ms, wall_ms = self._clock.now_ms(), self._clock.wall_ms()
+        return (
+            entry.queue_row["urgent"]
+            and waited_ms(entry, wall_ms) >= EVICT_AFTER_MS
+            and now_ms - entry.since_ms >= SETTLE_MS
+        )
+
+    def promised(self, team: str) -> int:
+        """Return for how many tasks of a team others are being evicted."""
+        urgent = [victim.urgent for victim in self._victims.values()]
+        return sum(
+            entry.job.spec["team"] == team and self._is_under_way(entry)
+            for entry in urgent
+        )
+
+    def choose(
+        self,
+        urgent: Entry,
+        demand: Demand,
+        candidates: Mapping[str, Candidate],
+        entries: Iterable[Entry],
+    ) -> Victim | None:
+        """Return the task to evict; None if there is none or one is being evicted."""
+        now_ms = self._clock.now_ms()
+        while self._times_ms and self._times_ms[0] <= now_ms - MINUTE_MS:
+            self._times_ms.popleft()
+        if len(self._times_ms) >= MOST_A_MINUTE or self._is_under_way(urgent):
+            return None
+        victims = [
+            Victim(urgent, entry, entry.row["run"], self._lost_ms(entry))
+            for entry in entries
+            if _can_be_evicted(entry)
+            and self._makes_room(entry, urgent, demand, candidates)
+        ]
+        if not victims:
+            return None
+        victim = min(victims, key=lambda item: (item.lost_ms, item.entry.task_id))
+        self._times_ms.append(now_ms)
+        self._victims[urgent.task_id] = victim
+        return victim
+
+    def keep(self, is_queued: Callable[[Entry], bool]) -> None:
+        """Forget the victims of tasks that do not wait any more."""
+        self._victims = {
+            task_id: victim
+            for task_id, victim in self._victims.items()
+            if is_queued(victim.urgent)
+        }
+
+    def _is_under_way(self, urgent: Entry) -> bool:
+        victim = self._victims.get(urgent.task_id)
+        return (
+            victim is not None
+            and victim.entry.row["run"] == victim.run
+            and victim.entry.state in LIVE_STATES
+        )
+
+    def _makes_room(
+        self,
+        entry: Entry,
+        urgent: Entry,
+        demand: Demand,
+        candidates: Mapping[str, Candidate],
+    ) -> bool:
+        candidate = candidates.get(entry.worker_id)
+        if candidate is None:
+            return False
+        freed = candidate.without(self._estimates.of(entry))
+        return obstacle(demand, freed, urgent.row["failed_on"]) is None
+
+    def _lost_ms(self, entry: Entry) -> Millis:
+        """Return the run time since the start or the newest checkpoint."""
+        saved_ms = max(started_ms(entry.row), entry.saved_ms)
+        return max(self._clock.wall_ms() - saved_ms, 0)
+
+
+def _can_be_evicted(entry: Entry) -> bool:
+    return (
+        entry.state is TaskState.RUNNING
+        and entry.is_settled
+        and not entry.busy
+        and not entry.queue_row["urgent"]
+        and entry.eviction is None
+        and entry.report is None
+        # It would wait for as long again.
+        and not began_late(entry.row)
+    )
--- a/hyssopweir/task_queue.py
+++ b/hyssopweir/task_queue.py
@@ -9,6 +9,7 @@
 from hyssopweir.clock import Millis
 from hyssopweir.codes import Code, Failure, Outcome
 from hyssopweir.contracts import TaskState, run_id_of
+from hyssopweir.estimates import Estimates
 from hyssopweir.events import Event
 from hyssopweir.fleet import Worker
 from hyssopweir.placed import Placed
@@ -18,15 +19,23 @@
     Demand,
     Verdict,
     choose,
+    demand_of,
     suits,
 )
+from hyssopweir.preemption import EVICT_AFTER_MS, MOST_A_MINUTE, Preemption
+from hyssopweir.reservations import Reservation, Reservations
 from hyssopweir.table import Require
 from hyssopweir.task_records import TaskRecords
 from hyssopweir.task_recovery import RunSettler
 from hyssopweir.task_rows import MOST_FAILED_WORKERS, Entry, Parts, job_key
 from hyssopweir.team_quotas import TeamQuotas
+from hyssopweir.waiting import order_of
 from hyssopweir.worker_client import Fence, TaskRun
 
+# So many failed tasks of a job show that the job is at fault.
+MOST_FAILED_TASKS = 3
+# Marks the recorded reason of a task that is held with its job.
+HELD_WITH_JOB = "failed_tasks"
 MOVE_AFTER_MS: Millis = 5_000
 # A worker that refused a start is not tried again for this time.
 AVOID_MS: Millis = 1_000
@@ -34,6 +43,8 @@
 Act = Coroutine[Any, Any, object]
 Spawn = Callable[[Entry, Act], None]
 FreeSlots = Callable[[], dict[str, int]]
+FailedTasks = Callable[[str], list[str]]
+Evict = Callable[[Entry, str], object]
 
 
 class TaskQueue:
@@ -49,6 +60,9 @@
         quotas: TeamQuotas,
         on_moved: Callable[[str], None],
         spawn: Spawn,
+        estimates: Estimates,
+        failed_tasks: FailedTasks,
+        evict: Evict,
     ) -> None:
         self._parts = parts
         self._records = records
@@ -58,6 +72,14 @@
         self._quotas = quotas
         self._on_moved = on_moved
         self._spawn = spawn
+        self._estimates = estimates
+        self._failed_tasks = failed_tasks
+        self._evict = evict
+        self._reservations = Reservations(placed.entries_on, estimates, parts.clock)
+        self._preemption = Preemption(estimates, parts.clock)
+        self._failed_of: dict[str, list[str]] = {}
+        self._unmoved: list[Entry] = []
+        self._waiters: list[Entry] = []
         self._avoid_until_ms: dict[str, Millis] = {}
         self._candidates: dict[str, Candidate] = {}
         self._elsewhere: dict[str, int] = {}
@@ -80,22 +102,43 @@
         self._candidates = {w.worker_id: self._candidate(w) for w in workers}
         self._elsewhere = dict(self._free_slots())
         self._elsewhere.pop(self._records.shard, None)
-        self._waiting = {}
-        for entry in sorted(queued, key=lambda item: item.order):
+        self._waiting, self._failed_of = {}, {}
+        self._waiters, self._unmoved = [], []
+        self._reservations.keep(self._is_queued, list(self._candidates.values()))
+        self._preemption.keep(self._is_queued)
+        wall_ms = self._parts.clock.wall_ms()
+        for entry in sorted(queued, key=lambda item: order_of(item, wall_ms)):
             self._place_one(entry)
+        for item in self._reservations.update(
+            self._unmoved, list(self._candidates.values())
+        ):
+            self._note_reservation(item)
+
+    def _is_queued(self, entry: Entry) -> bool:
+        known = self._records.entries.get(entry.task_id)
+        return known is entry and entry.state is TaskState.QUEUED
 
     def wanted(self) -> dict[str, int]:
         """Return how many queued tasks of each team could start at once."""
         workers = self._parts.view.workers_of(self._records.shard)
         free = sum(self._parts.slots.free(w.worker_id, True) for w in workers)
-        queued = Counter(
-            entry.job.spec["team"]
+        queued = [
+            entry
             for entry in self._records.entries.values()
             if entry.state is TaskState.QUEUED
             and not entry.busy
             and not entry.job.cancelled
+        ]
+        # A task may be evicted for an urgent one, if its team has a slot left.
+        urgent = Counter(
+            entry.job.spec["team"] for entry in queued if self._preemption.is_due(entry)
         )
-        return {team: min(count, free) for team, count in queued.items() if free > 0}
+        counts = Counter(entry.job.spec["team"] for entry in queued)
+        wanted = {
+            team: min(count, max(free, min(urgent[team], MOST_A_MINUTE)))
+            for team, count in counts.items()
+        }
+        return {team: count for team, count in wanted.items() if count > 0}
 
     def release_held(self) -> None:
         """Queue held tasks again for which a large enough worker has appeared."""
@@ -108,10 +151,9 @@
             return
         fleet = self._parts.view.workers()
         for entry in held:
-            failed_on = entry.row["failed_on"]
-            if len(failed_on) < MOST_FAILED_WORKERS and suits(
-                entry.job.demand, fleet, failed_on
-            ):
+            if entry.has_failed or _is_held_with_job(entry):
+                continue
+            if suits(_declared(entry), fleet, entry.row["failed_on"]):
                 self._spawn(entry, self._release(entry))
 
     def _candidate(self, worker: Worker) -> Candidate:
@@ -142,6 +184,8 @@
             )
             self._spawn(entry, self._hold(entry, text, {}))
             return
+        if self._holds_with_job(entry):
+            return
         has_room = self._quotas.has_room(self._records.shard, entry.job.spec["team"])
         if not has_room and self._is_quota_used_up(entry):
             return
@@ -149,7 +193,9 @@
         if choice.verdict is Verdict.NEVER:
             self._spawn(entry, self._hold(entry, choice.text, choice.figures))
         elif choice.worker is None:
-            self._wait_or_move(entry, choice)
+            self._waiters.append(entry)
+            if not self._makes_room(entry):
+                self._wait_or_move(entry, choice)
         elif has_room:
             self._take(entry, choice.worker, choice)
         else:
@@ -162,19 +208,46 @@
         self._note_waiting(entry, f"the team {team} uses all slots of its quota")
         return True
 
+    def _holds_with_job(self, entry: Entry) -> bool:
+        job = entry.row["job"]
+        if job not in self._failed_of:
+            self._failed_of[job] = self._failed_tasks(job)
+        failed = self._failed_of[job]
+        if len(failed) < MOST_FAILED_TASKS:
+            return False
+        text = (
+            f"{len(failed)} tasks of the job are held because each failed on "
+            f"{MOST_FAILED_WORKERS} workers, so the rest of the job is held too"
+        )
+        figures = {HELD_WITH_JOB: failed[:MOST_FAILED_TASKS]}
+        self._spawn(entry, self._hold(entry, text, figures))
+        return True
+
     def _choose(self, entry: Entry) -> Choice:
-        demand, failed_on = entry.job.demand, entry.row["failed_on"]
+        learned, declared = self._estimates.of(entry), _declared(entry)
+        choice = self._choose_for(entry, learned)
+        # Measurements may exceed what any worker has; only a declaration can show that
+        # a task can never run.
+        if choice.verdict is Verdict.NEVER and learned != declared:
+            choice = self._choose_for(entry, declared)
+        return choice
+
+    def _choose_for(self, entry: Entry, demand: Demand) -> Choice:
+        failed_on = entry.row["failed_on"]
         if not failed_on and demand in self._waiting:
             return self._waiting[demand]
+        candidates = list(self._candidates.values())
         choice = choose(
             demand,
-            list(self._candidates.values()),
+            self._reservations.restrict(entry, demand, candidates),
             failed_on,
             self._parts.view.workers,
         )
         if choice.verdict is Verdict.WAIT and not failed_on:
             self._waiting[demand] = choice
-        return choice
+            return choice
+        text = choice.text + self._estimates.basis(entry, demand)
+        return choice._replace(text=text)
 
     def _take(self, entry: Entry, worker: Worker, choice: Choice) -> None:
         worker_id = worker.worker_id
@@ -182,6 +255,10 @@
         run_id = run_id_of(entry.task_id, entry.row["run"] + 1)
         if fence is None or not self._parts.slots.take(worker_id, run_id, True):
             return
+        entry.passed_over = False
+        for waiter in self._waiters:
+            waiter.passed_over = True
+        self._waiters = []
         self._placed.add(entry, worker_id, run_id)
         self._candidates[worker_id] = self._candidate(worker)
         self._spawn(entry, self._start(entry, worker, fence, choice))
@@ -191,10 +268,16 @@
         never_here = choice.verdict is Verdict.NEVER_HERE
         has_moved = entry.row["reasons"][-1]["event"] == Event.TASK_MOVED.name
         # Two racks that know different things must not pass a task to and fro.
-        if (has_moved or not never_here) and waited_ms <= MOVE_AFTER_MS:
+        is_urgent = entry.queue_row["urgent"]
+        after_ms = EVICT_AFTER_MS if is_urgent and not has_moved else MOVE_AFTER_MS
+        if (has_moved or not never_here) and waited_ms <= after_ms:
             return
-        target = self._other_shard(entry, needs_free=not never_here)
+        # Free slots elsewhere did not help a task that has moved and waits again.
+        stays = has_moved and not never_here and self._reservations.is_due(entry)
+        target = None if stays else self._other_shard(entry, not never_here)
         if target is None:
+            if not never_here:
+                self._unmoved.append(entry)
             self._note_waiting(entry, choice.text)
             return
         free = self._elsewhere.get(target, 0)
@@ -220,10 +303,56 @@
                 for worker in self._parts.view.workers_of(shard)
                 if self._parts.view.leaving_since_ms(worker.worker_id) is None
             ]
-            if suits(entry.job.demand, workers, failed_on):
+            if suits(self._estimates.of(entry), workers, failed_on):
                 return shard
         return None
 
+    def _makes_room(self, entry: Entry) -> bool:
+        """Evict a task for an urgent one; False if none was evicted."""
+        has_moved = entry.row["reasons"][-1]["event"] == Event.TASK_MOVED.name
+        if not self._preemption.is_due(entry):
+            return False
+        team = entry.job.spec["team"]
+        promised = self._preemption.promised(team)
+        if not self._quotas.has_room(self._records.shard, team, promised):
+            return False
+        # Moving to a free slot costs nobody work.
+        if not has_moved and self._other_shard(entry, needs_free=True) is not None:
+            return False
+        demand = self._estimates.of(entry)
+        usable = self._reservations.restrict(
+            entry, demand, list(self._candidates.values())
+        )
+        victim = self._preemption.choose(
+            entry,
+            demand,
+            {item.worker.worker_id: item for item in usable},
+            self._records.entries.values(),
+        )
+        if victim is None:
+            return False
+        lost = f"{victim.lost_ms / 1_000:.1f} s of work since its newest checkpoint"
+        worker_id = victim.entry.worker_id
+        why = (
+            f"the urgent task {entry.task_id} found no free slot, and of the tasks "
+            f"that could make room for it this one loses least, at most {lost}"
+        )
+        self._evict(victim.entry, why)
+        text = (
+            f"no worker of this rack has room for this urgent task; "
+            f"{victim.entry.task_id} is evicted from {worker_id} to make room"
+        )
+        self._spawn(entry, self._settler.note_waiting(entry, text))
+        return True
+
+    def _note_reservation(self, item: Reservation) -> None:
+        text = (
+            f"{item.worker_id} is reserved for this task, because smaller tasks were "
+            f"started while it waited; the worker is expected to have room for "
+            f"{item.demand} in {item.in_ms / 1_000:.0f} s"
+        )
+        self._spawn(item.entry, self._settler.note_waiting(item.entry, text))
+
     def _note_waiting(self, entry: Entry, text: str) -> None:
         """Record why a task waits, once for each stay in the queue.
 
@@ -272,7 +401,9 @@
             return
         self._parts.invariants.run_begins(entry.task_id, entry.run_id)
         entry.witnessed_ms = self._parts.clock.now_ms()
-        run = task_run(entry)
+        given = self._estimates.given(entry, worker)
+        entry.given_gb = given.memory_gb
+        run = task_run(entry, given)
         reply = await self._parts.client.start(worker, fence, run, lease_until_ms)
         if isinstance(reply, Ok):
             await self._record_running(entry)
@@ -351,15 +482,23 @@
         self._parts.log.emit(event, task=entry.task_id, **fields)
 
 
-def task_run(entry: Entry) -> TaskRun:
-    """Return the newest run as a worker takes it."""
+def _declared(entry: Entry) -> Demand:
+    return demand_of(entry.job.spec, entry.row.get("memory_gb"))
+
+
+def _is_held_with_job(entry: Entry) -> bool:
+    return HELD_WITH_JOB in entry.row["reasons"][-1].get("figures", {})
+
+
+def task_run(entry: Entry, given: Demand) -> TaskRun:
+    """Return the newest run, with its limits, as a worker takes it."""
     spec = entry.job.spec
     return TaskRun(
         entry.run_id,
         spec["kind"],
         spec["run_ms"],
-        spec["cores"],
-        spec["memory_gb"],
+        given.cores,
+        given.memory_gb,
         spec.get("accelerators", 0),
         spec.get("payload", {}),
         entry.row["checkpoint"],
--- a/hyssopweir/task_records.py
+++ b/hyssopweir/task_records.py
@@ -45,6 +45,7 @@
         self._parts = parts
         self._jobs: dict[str, Job] = {}
         self._left: Counter[str] = Counter()
+        self._failed: dict[str, set[str]] = {}
 
     def reason(
         self,
@@ -96,6 +97,7 @@
         entry = Entry(job.ok_value, task, row.version, queue_row, version, now_ms)
         self.entries[entry.task_id] = entry
         self._left[queue_row["job"]] += 1
+        self._note_failed(entry)
         return Ok(True)
 
     def _is_held_here(self, row: Row) -> bool:
@@ -195,6 +197,18 @@
     def _drop(self, entry: Entry) -> None:
         if self.entries.pop(entry.task_id, None) is not None:
             self._left[entry.row["job"]] -= 1
+            self._note_failed(entry)
+
+    def failed_tasks(self, job: str) -> set[str]:
+        """Return the tasks of a job that are held for failing on several workers."""
+        return self._failed.get(job, set())
+
+    def _note_failed(self, entry: Entry) -> None:
+        is_held = self.entries.get(entry.task_id) is entry and entry.has_failed
+        failed = self._failed.setdefault(entry.row["job"], set())
+        (failed.add if is_held else failed.discard)(entry.task_id)
+        if not failed:
+            del self._failed[entry.row["job"]]
 
     def has_tasks_of(self, job: str) -> bool:
         """Tell whether the shard holds tasks of a job that have not ended."""
@@ -238,6 +252,7 @@
         entry.row = row
         entry.version = version
         entry.pending_reasons = []
+        self._note_failed(entry)
         if entry.state in FINAL_TASK_STATES:
             self._drop(entry)
 
@@ -279,4 +294,6 @@
 
 def _same_decision(found: TaskRow, wanted: TaskRow) -> bool:
     fields = ("state", "run", "epoch", "worker", "shard", "evictions", "reasons")
-    return all(found.get(field) == wanted.get(field) for field in fields)
+    return all(
+        found.get(field) == wanted.get(field) for field in (*fields, "memory_gb")
+    )
--- a/hyssopweir/task_recovery.py
+++ b/hyssopweir/task_recovery.py
@@ -7,6 +7,7 @@
 from hyssopweir.clock import Millis
 from hyssopweir.codes import Code, Failure, unknown
 from hyssopweir.contracts import TaskState
+from hyssopweir.estimates import Estimates, memory_after_shortage, note_usage
 from hyssopweir.events import Event
 from hyssopweir.fleet import Worker
 from hyssopweir.placed import Placed
@@ -25,8 +26,15 @@
 class RunSettler:
     """Record the ends of runs, each exactly once."""
 
-    def __init__(self, parts: Parts, records: TaskRecords, placed: Placed) -> None:
+    def __init__(
+        self,
+        parts: Parts,
+        records: TaskRecords,
+        placed: Placed,
+        estimates: Estimates,
+    ) -> None:
         self._parts = parts
+        self._estimates = estimates
         self._records = records
         self._placed = placed
         self.recorded: dict[str, None] = {}
@@ -96,10 +104,13 @@
         """Record an end that the worker confirmed, then acknowledge it."""
         entry.report = report
         entry.checkpoint = report.checkpoint or entry.checkpoint
+        note_usage(entry, report)
         run_id, worker_id = entry.run_id, entry.worker_id
         self.free(entry)
         if report.state is RunState.DONE:
             reply = await self._record_done(entry)
+        elif report.out_of_memory:
+            reply = await self._record_shortage(entry)
         elif report.state is RunState.FAILED:
             reply = await self._record_failed(entry, report)
         else:
@@ -116,9 +127,20 @@
         reply = await self._records.change(entry, reason, state=TaskState.DONE.value)
         if isinstance(reply, Ok):
             self._placed.note_end(worker_id, failed=False)
+            self._estimates.task_done(entry, self._parts.clock.now_ms())
             self._emit(Event.TASK_DONE, entry, run=run, worker=worker_id)
         return reply
 
+    async def _record_shortage(self, entry: Entry) -> Result[None, Failure]:
+        """Queue a task again with more memory; neither it nor the worker has failed."""
+        had_gb, memory_gb = memory_after_shortage(entry)
+        text = (
+            f"run {entry.row['run']} on {entry.worker_id} needed more memory than the "
+            f"{had_gb:g} GB that it had; the task is to run again with {memory_gb:g} "
+            "GB, and this does not count as a failure"
+        )
+        return await self.requeue(entry, Event.TASK_FAILED, text, memory_gb=memory_gb)
+
     async def _record_failed(
         self,
         entry: Entry,
@@ -217,6 +239,8 @@
         entry.is_settled = True
         entry.waiting_text = ""
         entry.saved_for_leaving = False
+        entry.peak = None
+        entry.saved_ms = 0
 
     async def wait_or_requeue(self, entry: Entry) -> None:
         """Queue a task again only if its run is certainly over; else say why not."""
--- a/hyssopweir/task_rows.py
+++ b/hyssopweir/task_rows.py
@@ -19,9 +19,8 @@
 from hyssopweir.events import EventLog
 from hyssopweir.fleet import Worker
 from hyssopweir.invariants import Invariants
-from hyssopweir.placement import Demand, demand_of
 from hyssopweir.table import Operation, TableStore
-from hyssopweir.worker_client import Fence, RunReport, WorkerClient
+from hyssopweir.worker_client import Fence, RunReport, Usage, WorkerClient
 
 MOST_REASONS = 20
 MOST_FAILED_WORKERS = 3
@@ -184,7 +183,6 @@
     def __init__(self, row: JobRow) -> None:
         self.spec: JobSpec = row["spec"]
         self.cancelled = row["cancelled"]
-        self.demand: Demand = demand_of(row["spec"])
 
 
 class Eviction(NamedTuple):
@@ -222,6 +220,13 @@
         self.pending_reasons: list[Reason] = []
         self.waiting_text = ""
         self.saved_for_leaving = False
+        # Of the newest run: peaks over its measurements, its limit (0 if not known),
+        # and the wall clock time at which its newest checkpoint was reported.
+        self.peak: Usage | None = None
+        self.given_gb = 0.0
+        self.saved_ms: Millis = 0
+        # A later task was started while this one waited.
+        self.passed_over = False
 
     @property
     def task_id(self) -> str:
@@ -238,22 +243,17 @@
         """Return the recorded state."""
         return TaskState(self.row["state"])
 
+    @property
+    def has_failed(self) -> bool:
+        """Tell whether the task is held for failing on several workers."""
+        failures = len(self.row["failed_on"])
+        return self.state is TaskState.HELD and failures >= MOST_FAILED_WORKERS
+
     @property
     def worker_id(self) -> str:
         """Return the worker of the newest run, empty if there is none."""
         return self.row["worker"]
 
-    @property
-    def order(self) -> tuple[bool, Millis, str, int]:
-        """Sort urgent tasks first, then the oldest."""
-        queue_row = self.queue_row
-        return (
-            not queue_row["urgent"],
-            queue_row["at_ms"],
-            self.row["job"],
-            self.row["n"],
-        )
-
 
 def job_key(job: str) -> str:
     """Return the key of a job's row."""
--- a/hyssopweir/task_shards.py
+++ b/hyssopweir/task_shards.py
@@ -9,12 +9,13 @@
 from hyssopweir.clock import Millis
 from hyssopweir.codes import Code, Failure, not_run
 from hyssopweir.contracts import FINAL_TASK_STATES, TaskRow, TaskState
+from hyssopweir.estimates import Estimates, note_usage
 from hyssopweir.events import Event
 from hyssopweir.evictions import Evictions
 from hyssopweir.fleet import Worker
 from hyssopweir.loops import run_guarded
 from hyssopweir.placed import Placed
-from hyssopweir.task_queue import Act, FreeSlots, TaskQueue
+from hyssopweir.task_queue import Act, FailedTasks, FreeSlots, TaskQueue
 from hyssopweir.task_records import TaskRecords
 from hyssopweir.task_recovery import ENDED, RunSettler
 from hyssopweir.task_rows import LIVE_STATES, Entry, Eviction, Parts, task_key
@@ -46,6 +47,8 @@
         quotas: TeamQuotas,
         on_moved: Callable[[str], None],
         holds_job: Callable[[str], bool],
+        estimates: Estimates,
+        failed_tasks: FailedTasks,
     ) -> None:
         self.shard = shard
         self.epoch = epoch
@@ -53,7 +56,7 @@
         self._parts = parts
         self._placed = placed
         self._holds_job = holds_job
-        self._settler = RunSettler(parts, self.records, placed)
+        self._settler = RunSettler(parts, self.records, placed, estimates)
         self._evictions = Evictions(parts, self.records, self._settler)
         self._queue = TaskQueue(
             parts,
@@ -64,6 +67,9 @@
             quotas,
             on_moved,
             self._spawn,
+            estimates,
+            failed_tasks,
+            self.evict,
         )
         self._signal = asyncio.Event()
         self._inventories: dict[str, tuple[Worker, Inventory]] = {}
@@ -141,7 +147,7 @@
         entries = self.records.entries.values()
         delay_ms = min(
             max(self._recheck_ms - self._parts.clock.now_ms(), 1),
-            TICK_MS if any(entry.retry_ms for entry in entries) else 4 * TICK_MS,
+            TICK_MS if any(map(_is_pressing, entries)) else 4 * TICK_MS,
         )
         try:
             # ``wait_for`` of Python 3.11 loses a cancellation that arrives together
@@ -200,7 +206,10 @@
         if report.state in ENDED:
             entry.report = report
         else:
-            entry.checkpoint = report.checkpoint or entry.checkpoint
+            note_usage(entry, report)
+            if report.checkpoint not in (None, entry.checkpoint):
+                entry.checkpoint = report.checkpoint
+                entry.saved_ms = self._parts.clock.wall_ms()
         return True
 
     def _step(self, entry: Entry) -> None:
@@ -366,6 +375,11 @@
         await self._parts.client.stop(known, fence, report.run_id)
 
 
+def _is_pressing(entry: Entry) -> bool:
+    is_urgent = entry.state is TaskState.QUEUED and entry.queue_row["urgent"]
+    return entry.retry_ms > 0 or is_urgent
+
+
 def _not_owner(task_id: str) -> Result[None, Failure]:
     detail = f"this instance no longer owns the shard of {task_id}"
     return Err(Failure(Code.NOT_OWNER, detail))
--- a/hyssopweir/tasks.py
+++ b/hyssopweir/tasks.py
@@ -6,6 +6,7 @@
 from result import Err, Result
 
 from hyssopweir.codes import Code, Failure, not_run
+from hyssopweir.estimates import Estimates
 from hyssopweir.fleet import Worker
 from hyssopweir.peers import Params, PeerNetwork
 from hyssopweir.placed import Placed
@@ -30,7 +31,8 @@
         self._parts = parts
         self._peers = peers
         self._free_slots = free_slots
-        self._placed = Placed()
+        self._estimates = Estimates()
+        self._placed = Placed(self._estimates)
         self._quotas = TeamQuotas(parts.store, quota_of, self, parts.clock, parts.log)
         self._shards: dict[str, ShardTasks] = {}
         self._loops: dict[str, asyncio.Future[None]] = {}
@@ -74,6 +76,8 @@
             self._quotas,
             self._announce,
             self._holds_job,
+            self._estimates,
+            self._failed_tasks,
         )
         self._shards[shard] = tasks
         self._loops[shard] = asyncio.ensure_future(tasks.run())
@@ -135,6 +139,12 @@
     def _holds_job(self, job: str) -> bool:
         return any(tasks.records.has_tasks_of(job) for tasks in self._shards.values())
 
+    def _failed_tasks(self, job: str) -> list[str]:
+        shards = self._shards.values()
+        return sorted(
+            task_id for tasks in shards for task_id in tasks.records.failed_tasks(job)
+        )
+
     def _announce(self, shard: str) -> None:
         self.wake(shard)
         self._peers.broadcast("queue_changed", {"shards": [shard]})
--- a/hyssopweir/team_quotas.py
+++ b/hyssopweir/team_quotas.py
@@ -142,13 +142,16 @@
         self._unconfirmed: set[str] = set()
         self._kicked = asyncio.Event()
 
-    def has_room(self, shard: str, team: str) -> bool:
-        """Tell whether a task of the team may start in the shard now."""
+    def has_room(self, shard: str, team: str, promised: int = 0) -> bool:
+        """Tell whether a task of the team may start in the shard now.
+
+        ``promised`` is the number of further tasks that are to start before it.
+        """
         if self._quota_of(team) is None:
             return True
         key = (shard, team)
         granted = self._grants.get(key, 0)
-        return self._shards.live(shard, team) < min(
+        return self._shards.live(shard, team) + promised < min(
             granted, self._caps.get(key, granted)
         )
 
--- /dev/null
+++ b/tests/test_task_waiting.py
@@ -0,0 +1,98 @@
+"""Tasks that wait: reservations, precedence, and evictions for urgent tasks."""
+
+import pytest
+
+from .task_world import Instance, World
+from .test_tasks import play, submit
+
+
+def reasons(world: World, job: str, says: str) -> list[str]:
+    texts = [item["text"] for item in world.task(job)["reasons"]]
+    return [text for text in texts if says in text]
+
+
+@pytest.mark.parametrize("large", [1, 3])
+def test_task_that_only_smaller_ones_pass_reserves_a_worker(large: int) -> None:
+    """Guards against starvation of large tasks, and a rack that is all reserved."""
+
+    async def story(world: World, one: Instance) -> None:
+        # The ends are spread, so that a worker is never empty by itself.
+        for number in range(24):
+            await submit(one, f"early-{number}", cores=5.0, run_ms=2_000 + 120 * number)
+        await world.until(lambda: "queued" not in world.states(""))
+        names = [f"large-{number}" for number in range(large)]
+        for name in names:
+            await submit(one, name, kind="round", cores=32.0, run_ms=1_000)
+        for number in range(2):
+            await submit(one, f"late-{number}", tasks=200, cores=5.0, run_ms=3_000)
+        await world.clock.sleep_ms(29_000)
+        assert {world.task(name)["run"] for name in names} == {0}
+        assert not any(reasons(world, name, "is reserved") for name in names)
+        most, begun_ms = 0, world.clock.now_ms()
+        while waiting := [name for name in names if not world.task(name)["run"]]:
+            reserved = [name for name in waiting if reasons(world, name, "is reserved")]
+            most = max(most, len(reserved))
+            assert world.clock.now_ms() < begun_ms + 12_000
+            await world.clock.sleep_ms(10)
+        assert most == min(large, 2)
+        assert "queued" in world.states("late-1")
+
+    play(story)
+
+
+def test_task_that_waited_ten_minutes_starts_before_newer_urgent_ones() -> None:
+    """Guards against a task that urgent ones keep from running for ever."""
+
+    async def story(world: World, one: Instance) -> None:
+        await submit(one, "urgent-0", urgent=True, cores=32.0, run_ms=12_000)
+        await world.until_state("running", "urgent-0")
+        await submit(one, "old", cores=32.0, run_ms=5_000)
+        begun_ms = world.clock.now_ms()
+        for number in range(1, 80):
+            name = f"urgent-{number}"
+            await submit(one, name, urgent=True, cores=32.0, run_ms=12_000)
+            await world.clock.sleep_ms(10_000)
+            waits = world.clock.now_ms() - begun_ms < 600_000
+            assert not (waits and world.task("old")["run"])
+        assert world.states("old") == ["done"]
+        assert world.task("old")["evictions"] == 0
+
+    play(story, workers=1)
+
+
+@pytest.mark.parametrize(
+    ("urgent", "quota", "fault", "evicted"),
+    [(1, None, "", 1), (1, 1, "", 1), (3, 2, "", 2), (10, None, "", 6)]
+    + [(1, None, "outage", 0)],
+)
+def test_urgent_task_without_a_slot_evicts_the_task_that_loses_least(
+    urgent: int, quota: int | None, fault: str, evicted: int
+) -> None:
+    """Guards against urgent work that waits for a batch, and against many evictions."""
+
+    async def story(world: World, one: Instance) -> None:
+        if quota is not None:
+            one.quotas["crew"] = quota
+        await submit(one, "old", tasks=11, run_ms=300_000)
+        await world.clock.sleep_ms(5_000)
+        await submit(one, "young", run_ms=300_000)
+        await world.clock.sleep_ms(5_000)
+        fields = {"team": "crew", "urgent": True, "run_ms": 100_000}
+        await submit(one, "booking", tasks=urgent, **fields)
+        one.service.down = fault == "outage"
+        await world.clock.sleep_ms(900)
+        assert not world.fleet.account.evicted
+        await world.clock.sleep_ms(1_100)
+        assert (world.task("booking")["state"] == "running") is not bool(fault)
+        await world.clock.sleep_ms(8_000)
+        assert sum(world.fleet.account.evicted.values()) == evicted
+        one.service.down = False
+        if evicted:
+            assert world.task("young")["evictions"] == 1
+            assert reasons(world, "young", "the urgent task booking/0 found no free")
+            assert reasons(world, "booking", "young/0 is evicted from")
+            assert world.fleet.account.lost_work_ms <= 50 * evicted
+        await world.clock.sleep_ms(61_000)
+        assert world.states("booking").count("running") == min(urgent, quota or urgent)
+
+    play(story, workers=2)
