Evict only where that frees a slot; stop passing large tasks to and fro

An eviction on a worker whose requests use slots of the reserve freed no slot for tasks, so that a further task was evicted. SlotLedger.shortage() tells how many runs must end first, and such workers are left out.

The note of a wait also hid that it had moved. A task that has moved and has waited for 30 s in total now stays and reserves.

The reason of an urgent task for which another is evicted is written with its start, because a write of its own could keep it from taking the slot.

--- a/hyssopweir/slots.py
+++ b/hyssopweir/slots.py
@@ -147,6 +147,12 @@
             return 0
         return max(count.free - self._reserve_slots, 0) if is_task else count.free
 
+    def shortage(self, worker_id: str) -> int:
+        """Return how many runs must end before a task finds a free slot."""
+        count = self._counts.get(worker_id)
+        missing = self._reserve_slots + 1 - (count.free if count is not None else 0)
+        return max(missing, 0)
+
     def in_flight(self, worker_id: str) -> int:
         """Return the number of runs that are counted at a worker."""
         count = self._counts.get(worker_id)
--- a/hyssopweir/task_queue.py
+++ b/hyssopweir/task_queue.py
@@ -29,7 +29,7 @@
 from hyssopweir.task_recovery import RunSettler
 from hyssopweir.task_rows import MOST_FAILED_WORKERS, Entry, Parts, job_key
 from hyssopweir.team_quotas import TeamQuotas
-from hyssopweir.waiting import order_of
+from hyssopweir.waiting import has_moved, order_of
 from hyssopweir.worker_client import Fence, TaskRun
 
 # So many failed tasks of a job show that the job is at fault.
@@ -265,14 +265,14 @@
     def _wait_or_move(self, entry: Entry, choice: Choice) -> None:
         waited_ms = self._parts.clock.now_ms() - entry.since_ms
         never_here = choice.verdict is Verdict.NEVER_HERE
-        has_moved = entry.row["reasons"][-1]["event"] == Event.TASK_MOVED.name
-        # Two racks that know different things must not pass a task to and fro.
+        moved = has_moved(entry.row)
         is_urgent = entry.queue_row["urgent"]
-        after_ms = EVICT_AFTER_MS if is_urgent and not has_moved else MOVE_AFTER_MS
-        if (has_moved or not never_here) and waited_ms <= after_ms:
+        after_ms = EVICT_AFTER_MS if is_urgent and not moved else MOVE_AFTER_MS
+        # Two racks that know different things must not pass a task to and fro.
+        if (moved or not never_here) and waited_ms <= after_ms:
             return
         # Free slots elsewhere did not help a task that has moved and waits again.
-        stays = has_moved and not never_here and self._reservations.is_due(entry)
+        stays = moved and not never_here and self._reservations.is_due(entry)
         target = None if stays else self._other_shard(entry, not never_here)
         if target is None:
             if not never_here:
@@ -310,13 +310,15 @@
         """Evict a task for an urgent one; False if none was evicted."""
         if not self._preemption.is_due(entry):
             return False
-        has_moved = entry.row["reasons"][-1]["event"] == Event.TASK_MOVED.name
         team = entry.job.spec["team"]
         promised = self._preemption.promised(team)
         if not self._quotas.has_room(self._records.shard, team, promised):
             return False
         # Moving to a free slot costs nobody work.
-        if not has_moved and self._other_shard(entry, needs_free=True) is not None:
+        if (
+            not has_moved(entry.row)
+            and self._other_shard(entry, needs_free=True) is not None
+        ):
             return False
         demand = self._estimates.of(entry)
         usable = self._reservations.restrict(
@@ -325,7 +327,12 @@
         victim = self._preemption.choose(
             entry,
             demand,
-            {item.worker.worker_id: item for item in usable},
+            {
+                item.worker.worker_id: item
+                for item in usable
+                # Requests may use slots of their reserve, so that one end is too few.
+                if self._parts.slots.shortage(item.worker.worker_id) <= 1
+            },
             self._records.entries.values(),
         )
         if victim is None:
@@ -341,7 +348,8 @@
             f"no worker of this rack has room for this urgent task; "
             f"{victim.entry.task_id} is evicted from {worker_id} to make room"
         )
-        self._spawn(entry, self._settler.note_waiting(entry, text))
+        # A write of its own could keep the task from taking the slot when it is free.
+        entry.pending_reasons.append(self._records.reason(Event.TASK_WAITING, text))
         return True
 
     def _note_reservation(self, item: Reservation) -> None:
--- a/hyssopweir/task_rows.py
+++ b/hyssopweir/task_rows.py
@@ -90,6 +90,10 @@
         """Return the number of free slots."""
         ...
 
+    def shortage(self, worker_id: str) -> int:
+        """Return how many runs must end before a task finds a free slot."""
+        ...
+
 
 class Links(Protocol):
     """Know the claimed workers; implemented by ``WorkerLinks``."""
--- a/hyssopweir/waiting.py
+++ b/hyssopweir/waiting.py
@@ -6,8 +6,9 @@
 from hyssopweir.task_rows import Entry
 
 AGED_MS: Millis = 10 * MINUTE_MS
+MOVED = Event.TASK_MOVED.name
 # These don't interrupt a stay in the queue.
-NOTES = frozenset({Event.TASK_MOVED.name, Event.TASK_WAITING.name})
+NOTES = frozenset({MOVED, Event.TASK_WAITING.name})
 
 Order = tuple[bool, Millis, str, int]
 
@@ -22,6 +23,16 @@
     return wall_ms - since_ms
 
 
+def has_moved(row: TaskRow) -> bool:
+    """Tell whether a queued task came from another shard during this wait."""
+    for item in reversed(row["reasons"]):
+        if item["event"] == MOVED:
+            return True
+        if item["event"] not in NOTES:
+            return False
+    return False
+
+
 def began_late(row: TaskRow) -> bool:
     """Tell whether the newest start took precedence over urgent tasks."""
     begun_ms = started_ms(row)
