--- a/hyssopweir/placement.py
+++ b/hyssopweir/placement.py
@@ -1,6 +1,6 @@
 """Choice of a worker for a task within a shard, with the reasons in plain words."""
 
-from collections.abc import Collection, Iterable, Mapping, Sequence
+from collections.abc import Callable, Collection, Iterable, Mapping, Sequence
 from enum import Enum
 from types import MappingProxyType
 from typing import Any, NamedTuple
@@ -45,6 +45,16 @@
     failures: int = 0
     ejected: bool = False
     pressed: bool = False
+    reserved_for: str = ""
+
+    def without(self, demand: Demand) -> "Candidate":
+        """Return the worker as it is when a run of this size has ended."""
+        return self._replace(
+            free_cores=self.free_cores + demand.cores,
+            free_memory_gb=self.free_memory_gb + demand.memory_gb,
+            free_accelerators=self.free_accelerators + demand.accelerators,
+            free_slots=self.free_slots + 1,
+        )
 
 
 class Verdict(Enum):
@@ -70,11 +80,11 @@
     is_held_back: bool = False
 
 
-def demand_of(spec: JobSpec) -> Demand:
-    """Return what each task of a job needs."""
+def demand_of(spec: JobSpec, memory_gb: float | None = None) -> Demand:
+    """Return the declared size; a task row's ``memory_gb`` replaces the job's."""
     return Demand(
         spec["cores"],
-        spec["memory_gb"],
+        spec["memory_gb"] if memory_gb is None else memory_gb,
         spec.get("accelerators", 0),
         spec.get("data_centre"),
     )
@@ -105,19 +115,20 @@
     demand: Demand,
     candidates: Sequence[Candidate],
     failed_on: Collection[str],
-    fleet: Sequence[Worker],
+    fleet: Callable[[], Sequence[Worker]],
     harms: Mapping[str, Harm] = NO_HARM,
 ) -> Choice:
     """Choose the worker of a shard that the task fills best and with least harm.
 
-    ``fleet`` holds the workers of all shards; it only decides between ``NEVER_HERE``
-    and ``NEVER``. ``harms`` holds the predicted harm by worker.
+    ``fleet`` returns the workers of all shards. It is called only to decide between
+    ``NEVER_HERE`` and ``NEVER``, since the copy of a large list takes longer than the
+    choice. ``harms`` holds the predicted harm by worker.
     """
     avoids_ejected = _is_other_left(demand, candidates, failed_on)
     rejected = {
         candidate.worker.worker_id: why
         for candidate in candidates
-        if (why := _obstacle(demand, candidate, failed_on, avoids_ejected)) is not None
+        if (why := obstacle(demand, candidate, failed_on, avoids_ejected)) is not None
     }
     kept_free = {
         worker_id: harm.obstacle
@@ -133,7 +144,17 @@
     staying = [item.worker for item in candidates if not item.leaving]
     if suits(demand, staying, failed_on):
         return _waiting(demand, rejected, bool(kept_free))
-    return _impossible(demand, failed_on, fleet, rejected)
+    return _impossible(demand, failed_on, fleet(), rejected)
+
+
+def leaves_room(candidate: Candidate, demand: Demand, kept: Demand) -> bool:
+    """Tell whether a worker has room for a task beside the room that is kept."""
+    return (
+        candidate.free_slots > 1
+        and candidate.free_cores + TOLERANCE >= demand.cores + kept.cores
+        and candidate.free_memory_gb + TOLERANCE >= demand.memory_gb + kept.memory_gb
+        and candidate.free_accelerators >= demand.accelerators + kept.accelerators
+    )
 
 
 def _is_other_left(
@@ -144,11 +165,11 @@
     return suits(demand, others, failed_on)
 
 
-def _obstacle(
+def obstacle(
     demand: Demand,
     candidate: Candidate,
     failed_on: Collection[str],
-    avoids_ejected: bool,
+    avoids_ejected: bool = True,
 ) -> str | None:
     """Return why the worker can't take the task now, None if it can."""
     worker = candidate.worker
@@ -162,6 +183,10 @@
             "is ejected, because requests fail or are slow there",
         ),
         (candidate.free_slots <= 0, "has no free slot for tasks"),
+        (
+            candidate.reserved_for != "",
+            f"is reserved for {candidate.reserved_for}, which has waited longer",
+        ),
         (
             candidate.free_cores + TOLERANCE < demand.cores,
             f"has only {max(candidate.free_cores, 0):g} cores free",
--- a/hyssopweir/pressure_steps.py
+++ b/hyssopweir/pressure_steps.py
@@ -118,7 +118,7 @@
 
     def _running(self, entry: Entry, hold: _Hold, now_ms: Millis) -> RunningTask:
         worker = self._parts.view.worker(entry.worker_id)
-        cores = entry.job.demand.cores
+        cores = entry.job.spec["cores"]
         return RunningTask(
             entry.task_id,
             entry.job.spec["kind"],
