Compare the product's decisions with naive ones in virtual time

Cause: section 2.17 of the design has aims for tail latency, batch throughput, evictions and goodput, and nothing measured them.

The workers are a model with a hidden table of slowdowns, wrong declarations, and tasks that run out of memory.

--- a/Makefile
+++ b/Makefile
@@ -3,9 +3,9 @@
 BIN := $(VENV)/bin
 READY := $(VENV)/.ready
 BINARY ?= dist/hyssopweir
-SOURCES := hyssopweir tests benchmarks
+SOURCES := hyssopweir tests benchmarks experiments
 
-.PHONY: demo test check format binary bench soak clean
+.PHONY: demo test check format binary bench experiment soak clean
 
 $(READY): requirements.lock pyproject.toml
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
@@ -35,6 +35,9 @@
 bench: $(READY)
 	$(BIN)/python -m benchmarks
 
+experiment: $(READY)
+	$(BIN)/python -m experiments
+
 soak: $(READY)
 	$(BIN)/python -m pytest tests/test_random_faults.py --soak-seed=$(or $(SEED),1) --soak-runs=$(or $(RUNS),200)
 
