--- a/experiments/cell.py
+++ b/experiments/cell.py
@@ -271,7 +271,7 @@
     async def _send(self, arrival: Arrival) -> None:
         service, parts = SERVICES[arrival.service], self.nodes[arrival.place].parts
         started_ms = _now_ms()
-        name = f"r{len(self.served)}-{arrival.at_ms:.6f}"
+        name = f"r{arrival.at_ms:.6f}"
         req = Request(
             name,
             "caller",
--- a/experiments/pool.py
+++ b/experiments/pool.py
@@ -1,6 +1,7 @@
 """Cells run in processes of their own, which must give the same figures each time."""
 
 import gc
+import logging
 import multiprocessing
 import os
 from collections.abc import Iterator, Sequence
@@ -54,7 +55,9 @@
                     yield user, scenario, variant
 
 
-def _collect_rarely() -> None:
+def _prepare() -> None:
+    # The failures that are caused here on purpose would hide the command's output.
+    logging.disable(logging.CRITICAL)
     # Most objects of a run live to its end; collections took a part of its time.
     gc.set_threshold(100_000, 50, 100)
 
@@ -66,7 +69,7 @@
     os.environ["PYTHONHASHSEED"] = "0"
     context = multiprocessing.get_context("spawn")
     results: dict[Cell, Figures] = {}
-    with ProcessPoolExecutor(processes, context, _collect_rarely) as pool:
+    with ProcessPoolExecutor(processes, context, _prepare) as pool:
         runs = {pool.submit(measure, cell, span): cell for cell in cells}
         for run in as_completed(runs):
             results[runs[run]] = run.result()
