Let evictions lose the incomplete step of a task

Cause: in the first table no eviction lost any work, because the stand-in's checkpoint saves everything; the refusals of keyed requests in an outage counted as failures.

Change: a checkpoint of the model keeps whole steps of 3 s, and a failure whose attempt was not run counts as a refusal.

--- a/experiments/__main__.py
+++ b/experiments/__main__.py
@@ -83,8 +83,9 @@
         "the target, no ejection. `packing`: the same without evictions. `alone`: no "
         "tasks. Goodput is the undisturbed time of the answers in time, as a share of "
         "the slot time that tasks leave. Batch work is the undisturbed time of the "
-        "tasks that were done. Work is lost otherwise when a task runs out of memory "
-        "or fails."
+        "tasks that were done. A checkpoint holds whole steps of 3 s; an eviction "
+        "loses the rest. Work is lost otherwise when a task runs out of memory or "
+        "fails."
     )
     title = "## Decisions compared with naive ones"
     parts = [title, *([label] if label else []), measured, how]
--- a/experiments/cell.py
+++ b/experiments/cell.py
@@ -29,6 +29,7 @@
 from hyssopweir.codes import Failure, Outcome
 from hyssopweir.contracts import Answer, Request
 from hyssopweir.fleet import Worker
+from hyssopweir.idempotency import is_unsent
 from hyssopweir.instance import Adapters, Parts
 from hyssopweir.standin_table import StandinTable
 from hyssopweir.worker_client import Fence, RequestRun, RunReport
@@ -347,7 +348,9 @@
         return "ok" if latency_ms <= deadline_ms else "late"
     if latency_ms >= deadline_ms - 1:
         return "late"
-    return "refused" if reply.err_value.outcome is Outcome.NOT_RUN else "failed"
+    failure = reply.err_value
+    is_refused = failure.outcome is Outcome.NOT_RUN or is_unsent(failure)
+    return "refused" if is_refused else "failed"
 
 
 def _now_ms() -> float:
--- a/experiments/worker_model.py
+++ b/experiments/worker_model.py
@@ -4,7 +4,7 @@
 import random
 from typing import NamedTuple
 
-from result import Ok, Result
+from result import Err, Ok, Result
 
 from hyssopweir.clock import Clock, Millis
 from hyssopweir.codes import Failure
@@ -17,6 +17,8 @@
 FAILS_AFTER_MS: Millis = 3
 # The slowdown at an empty worker, and what a full one adds, as shares of the table's.
 LOAD_FLOOR, LOAD_SLOPE = 0.4, 0.8
+# A checkpoint holds only complete steps of a task, so that an eviction loses work.
+SAVED_STEP_MS: Millis = 3_000
 # Tasks of one kind differ in work, processors and memory by this share.
 TASK_SPREAD = 0.15
 
@@ -100,6 +102,16 @@
             self._live[run.run_id] = _Live(run.kind, *live.uses, run.memory_gb)
         return reply
 
+    async def checkpoint(self, fence: Fence, run_id: str) -> Result[RunReport, Failure]:
+        """Save the complete steps of a running task."""
+        reply = await super().checkpoint(fence, run_id)
+        run = self._runs.get(run_id)
+        if isinstance(reply, Err) or run is None or run.state is not RunState.RUNNING:
+            return reply
+        run.saved_ms = run.done_ms // SAVED_STEP_MS * SAVED_STEP_MS
+        run.checkpoint = f"{run_id}@{int(run.saved_ms)}"
+        return Ok(run.report())
+
     async def _serve(self, run: Run, req: RequestRun) -> None:
         cores = self._service_cores[req.service]
         self._live[run.run_id] = _Live(req.service, cores, 0.0, 0.0)
