--- a/experiments/__main__.py
+++ b/experiments/__main__.py
@@ -76,7 +76,7 @@
     how = (
         "Each cell runs one instance in each data centre for "
         f"{WARM_UP_MS // 1_000} s, and then for {MEASURED_MS // 1_000} s that are "
-        "measured, in virtual time; half of both in the overload. The modules are the "
+        "measured, in virtual time; 45% of both in the overload. The modules are the "
         "product's; the workers are a model with a hidden table of slowdowns "
         "([design.md](design.md), 2.17). `naive`: random routing, first fit by the "
         "declarations, the newest task evicted when the median of 5 requests exceeds "
