Replace naive decisions only in modules of the package that runs

Cause: tests/test_experiments.py::test_a_cell_gives_the_same_figures_again failed with an ImportError.

--- a/experiments/naive.py
+++ b/experiments/naive.py
@@ -1,7 +1,7 @@
 """Naive decisions in place of the product's: the baseline of the experiments."""
 
 import importlib
-import importlib.util
+import pkgutil
 import random
 import statistics
 from collections import defaultdict, deque
@@ -10,6 +10,7 @@
 from typing import Any
 from unittest import mock
 
+import hyssopweir
 from experiments.workloads import SERVICES
 from hyssopweir import admission, placement, task_queue
 from hyssopweir.contracts import JobSpec
@@ -63,6 +64,8 @@
 
 def _replaced_methods() -> Iterator[tuple[Any, str, Callable[..., Any]]]:
     """Yield the methods that decide nothing in the baseline, of the modules present."""
+    # An editable installation also finds modules of the checkout that it was made from.
+    present = {module.name for module in pkgutil.iter_modules(hyssopweir.__path__)}
     for module_name, class_name, method, decision in (
         ("worker_health", "WorkerHealth", "is_ejected", lambda *_: False),
         ("routing", "WorkerHealth", "is_ejected", lambda *_: False),
@@ -74,9 +77,9 @@
         ("reservations", "Reservations", "is_due", lambda *_: False),
         ("pressure", "PressureControl", "decide", lambda *_: []),
     ):
-        full_name = f"hyssopweir.{module_name}"
-        if importlib.util.find_spec(full_name) is not None:
-            owner = getattr(importlib.import_module(full_name), class_name, None)
+        if module_name in present:
+            module = importlib.import_module(f"hyssopweir.{module_name}")
+            owner = getattr(module, class_name, None)
             if hasattr(owner, method):
                 yield owner, method, decision
 
