Don't eject a worker for the tasks that were placed on it

The latency that counts for ejection is now the measured one without the predicted effect of the tasks beside the request; it does not count while the effect of a task is unknown. A worker that is slow by itself is still ejected.

--- a/hyssopweir/dispatch.py
+++ b/hyssopweir/dispatch.py
@@ -371,7 +371,9 @@
             # A failure may come at once and says nothing about the time.
             is_done = reply.ok_value.state is RunState.DONE
             if is_done and self._ownership.epoch_of(work.shard) is not None:
-                self._measurements.request_ended(worker, req.service, started_ms, load)
+                work.own_latency_ms = self._measurements.request_ended(
+                    worker, req.service, started_ms, load
+                )
             return await self._conclude(work, worker, reply.ok_value)
         if isinstance(reply, Err) and reply.err_value.outcome is Outcome.RAN:
             return await self._ran_in_vain(work, worker, reply.err_value)
@@ -449,24 +451,26 @@
             detail = "the worker can't say how the run ended"
             return Err(unknown(Code.OUTCOME_UNKNOWN, detail))
         if report.state is not RunState.DONE or report.answer is None:
-            self._note_health(work, worker, None)
+            self._note_health(work, worker, has_failed=True)
             detail = report.error or f"the run ended as {report.state.value}"
             return Err(Failure(Code.TASK_FAILED, detail, Outcome.RAN))
-        self._note_health(work, worker, latency_ms)
+        self._note_health(work, worker, has_failed=False)
         self._admission.note_service(work.shard, held_ms)
         return Ok(answer_of(work, worker, report.answer))
 
-    def _note_health(
-        self, work: RequestWork, worker: Worker, latency_ms: Millis | None
-    ) -> None:
-        """Note the end of a run; without a latency it failed."""
+    def _note_health(self, work: RequestWork, worker: Worker, has_failed: bool) -> None:
+        """Note the end of a run.
+
+        A worker must not count as slow for the tasks that were placed there, so the
+        latency is that without their predicted effect.
+        """
         if self._links.fence_of(worker.worker_id) is None:
             # The shard was lost during the run; what is known of it was dropped.
             return
-        if latency_ms is None:
+        if has_failed:
             self.health.failed(worker, work.req.service)
         else:
-            self.health.succeeded(worker, work.req.service, latency_ms)
+            self.health.succeeded(worker, work.req.service, work.own_latency_ms)
 
     def _forget_health(self, worker: Worker) -> None:
         self.health.forget(worker.worker_id)
--- a/hyssopweir/measurements.py
+++ b/hyssopweir/measurements.py
@@ -79,8 +79,12 @@
 
     def request_ended(
         self, worker: Worker, service: str, started_ms: Millis, load: float
-    ) -> None:
-        """Compare a request with what ran beside it; ``load`` is that at its start."""
+    ) -> float | None:
+        """Compare a request with what ran beside it; ``load`` is that at its start.
+
+        Returns the latency in ms without the predicted effect of the tasks beside it
+        and of the load, None if the effect of a task is unknown.
+        """
         now_ms, worker_id = self._clock.now_ms(), worker.worker_id
         latency_ms = max(now_ms - started_ms, LEAST_LATENCY_MS)
         beside = self.colocation.between(worker_id, started_ms, now_ms)
@@ -90,13 +94,15 @@
         slowdown = latency_ms / baseline_ms
         expected, is_known = self.interference.expected_log(service, beside, load)
         self.interference.observe(service, beside, load, slowdown)
-        if is_known:
-            state = self._state(worker.shard, worker_id)
-            error = math.log(slowdown) - expected
-            error = min(max(error, -LARGEST_RATIO_LOG), LARGEST_RATIO_LOG)
-            ratio_log = state.ratio_at(now_ms)
-            state.ratio_log = ratio_log + RATIO_WEIGHT * (error - ratio_log)
-            state.noted_ms = now_ms
+        if not is_known:
+            return None
+        state = self._state(worker.shard, worker_id)
+        error = math.log(slowdown) - expected
+        error = min(max(error, -LARGEST_RATIO_LOG), LARGEST_RATIO_LOG)
+        ratio_log = state.ratio_at(now_ms)
+        state.ratio_log = ratio_log + RATIO_WEIGHT * (error - ratio_log)
+        state.noted_ms = now_ms
+        return latency_ms / math.exp(expected)
 
     def take_inventory(self, worker: Worker, inventory: Inventory) -> None:
         """Learn from the progress of the tasks, for ``WorkerLinks.on_inventory``."""
--- a/hyssopweir/request_work.py
+++ b/hyssopweir/request_work.py
@@ -32,6 +32,7 @@
         self.granted = False
         self.granted_at_ms: Millis = 0
         self.sent_at_ms: Millis = 0
+        self.own_latency_ms: float | None = None
 
 
 def is_refusal(failure: Failure) -> bool:
--- a/hyssopweir/worker_health.py
+++ b/hyssopweir/worker_health.py
@@ -163,8 +163,11 @@
             health.is_probed = True
             health.until_ms = self._clock.now_ms() + EJECTED_MS
 
-    def succeeded(self, worker: Worker, service: str, latency_ms: float) -> None:
-        """Note a run that was done; eject the worker if the service is slow there."""
+    def succeeded(self, worker: Worker, service: str, latency_ms: float | None) -> None:
+        """Note a run that was done; eject the worker if the service is slow there.
+
+        Without a latency the run says nothing about the speed of the worker.
+        """
         now_ms = self._clock.now_ms()
         health, shard = self._known(worker)
         self._note_recovery(worker.shard, shard, service)
@@ -172,6 +175,8 @@
             self._take_probe(health, shard, service, latency_ms)
             return
         health.failures.clear()
+        if latency_ms is None:
+            return
         health.note_latency(service, latency_ms, now_ms)
         median_ms = health.median_ms(service, now_ms)
         if median_ms is None:
@@ -248,14 +253,15 @@
             self._log.emit(Event.SERVICE_RECOVERED, shard=name, service=service)
 
     def _take_probe(
-        self, health: _Health, shard: _Shard, service: str, latency_ms: float
+        self, health: _Health, shard: _Shard, service: str, latency_ms: float | None
     ) -> None:
         if not health.is_probed:
             # Sent before the ejection, so it says nothing new.
             return
         health.is_probed = False
         others_ms = self._others_ms(health, shard, service)
-        if health.is_slow and _is_slow(latency_ms, others_ms):
+        is_slow = latency_ms is not None and _is_slow(latency_ms, others_ms)
+        if health.is_slow and latency_ms is not None and is_slow:
             reason = _slowness(f"probe with {service}", latency_ms, others_ms)
             self._eject(health, shard, reason, is_slow=True)
             return
--- a/tests/test_measurements.py
+++ b/tests/test_measurements.py
@@ -65,6 +65,34 @@
     run_virtual(run())
 
 
+@pytest.mark.parametrize("has_task", [True, False])
+def test_worker_is_not_ejected_for_the_tasks_beside_its_requests(
+    has_task: bool,
+) -> None:
+    """Guards against a worker that is ejected for what was placed there."""
+
+    async def story(world: RequestWorld) -> None:
+        node, slow = world.nodes["a"], world.fleet.workers["kista-w0"]
+
+        async def send(number: int) -> None:
+            assert (await world.send("a", build_request(number), 5_000)).is_ok()
+
+        async def serve(batches: int) -> None:
+            for _ in range(batches):
+                await asyncio.gather(*map(send, range(28)))
+
+        await serve(10)
+        slow.service_ms = {"price-check": 200}
+        if has_task:
+            worker_id = slow.worker.worker_id
+            node.measurements.task_started("kista/r0", worker_id, "j/0#1", "repaint")
+        await serve(25)
+        ejected = node.dispatcher.health.is_ejected(slow.worker.worker_id)
+        assert ejected != has_task
+
+    in_world(story, workers=4)
+
+
 def test_quiet_worker_is_preferred_while_a_harmful_task_runs_on_the_other() -> None:
     """Guards against requests beside a task that is known to slow them down."""
 
