--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -9,7 +9,6 @@
 from tests.scenario import configure, run_system
 from tests.system import DATA_CENTRES, System
 
-
 # The longest run takes 2.5 s, and both the call and the reply may be delayed by 3 s.
 DEADLINE_MS: Millis = 12_000
 
