Split the start of tasks from the choice of what to do with queued ones

The start (recorded first, then asked of the worker, and what follows from a refusal) moves to task_starts; behaviour is unchanged.

--- a/hyssopweir/task_queue.py
+++ b/hyssopweir/task_queue.py
@@ -4,10 +4,10 @@
 from collections.abc import Callable, Coroutine
 from typing import Any
 
-from result import Err, Ok, Result
+from result import Ok, Result
 
 from hyssopweir.clock import Millis
-from hyssopweir.codes import Code, Failure, Outcome
+from hyssopweir.codes import Failure
 from hyssopweir.contracts import TaskState, run_id_of
 from hyssopweir.estimates import Estimates
 from hyssopweir.events import Event
@@ -25,21 +25,18 @@
 )
 from hyssopweir.preemption import EVICT_AFTER_MS, MOST_A_MINUTE, Preemption
 from hyssopweir.reservations import Reservation, Reservations
-from hyssopweir.table import Require
 from hyssopweir.task_records import TaskRecords
 from hyssopweir.task_recovery import RunSettler
-from hyssopweir.task_rows import MOST_FAILED_WORKERS, Entry, Parts, job_key
+from hyssopweir.task_rows import MOST_FAILED_WORKERS, Entry, Parts
+from hyssopweir.task_starts import TaskStarts
 from hyssopweir.team_quotas import TeamQuotas
 from hyssopweir.waiting import has_moved, order_of
-from hyssopweir.worker_client import Fence, TaskRun
 
 # So many failed tasks of a job show that the job is at fault.
 MOST_FAILED_TASKS = 3
 # Marks the recorded reason of a task that is held with its job.
 HELD_WITH_JOB = "failed_tasks"
 MOVE_AFTER_MS: Millis = 5_000
-# A worker that refused a start is not tried again for this time.
-AVOID_MS: Millis = 1_000
 # A task whose kind has an unknown effect on services is bound to the workers that run
 # the kind already for this time at most.
 BOUND_MS: Millis = 10_000
@@ -84,11 +81,12 @@
         self._failed_of: dict[str, list[str]] = {}
         self._unmoved: list[Entry] = []
         self._waiters: list[Entry] = []
-        self._avoid_until_ms: dict[str, Millis] = {}
         self._candidates: dict[str, Candidate] = {}
         self._elsewhere: dict[str, int] = {}
         self._waiting: dict[tuple[Demand, str, bool], Choice] = {}
-        self.leaving: set[str] = set()
+        self._starts = TaskStarts(parts, records, settler, placed, estimates)
+        # Workers that have said so themselves, before the list shows it.
+        self.leaving = self._starts.leaving
         self.is_pressed: Callable[[str], bool] = lambda worker_id: False
 
     def place(self) -> None:
@@ -164,25 +162,20 @@
     def _candidate(self, worker: Worker) -> Candidate:
         worker_id = worker.worker_id
         used = self._placed.on(worker_id)
-        now_ms = self._parts.clock.now_ms()
         return Candidate(
             worker,
             round(worker.cores - sum(demand.cores for demand in used), 6),
             round(worker.memory_gb - sum(demand.memory_gb for demand in used), 6),
             worker.accelerators - sum(demand.accelerators for demand in used),
             self._parts.slots.free(worker_id, True),
-            self._is_leaving(worker_id),
+            self._starts.is_leaving(worker_id),
             self._parts.links.fence_of(worker_id) is not None
-            and self._avoid_until_ms.get(worker_id, 0) <= now_ms,
+            and not self._starts.is_avoided(worker_id),
             self._placed.failures(worker_id),
             self._parts.is_ejected(worker_id),
             self.is_pressed(worker_id),
         )
 
-    def _is_leaving(self, worker_id: str) -> bool:
-        listed = self._parts.view.leaving_since_ms(worker_id) is not None
-        return listed or worker_id in self.leaving
-
     def _place_one(self, entry: Entry) -> None:
         failed_on = entry.row["failed_on"]
         if len(failed_on) >= MOST_FAILED_WORKERS:
@@ -283,7 +276,7 @@
         self._waiters = []
         self._placed.add(entry, worker_id, run_id)
         self._candidates[worker_id] = self._candidate(worker)
-        self._spawn(entry, self._start(entry, worker, fence, choice))
+        self._spawn(entry, self._starts.start(entry, worker, fence, choice))
 
     def _wait_or_move(self, entry: Entry, choice: Choice) -> None:
         waited_ms = self._parts.clock.now_ms() - entry.since_ms
@@ -397,86 +390,6 @@
         if waited_ms > MOVE_AFTER_MS and not entry.waiting_text:
             self._spawn(entry, self._settler.note_waiting(entry, text))
 
-    async def _start(
-        self,
-        entry: Entry,
-        worker: Worker,
-        fence: Fence,
-        choice: Choice,
-    ) -> None:
-        run = entry.row["run"] + 1
-        run_id = run_id_of(entry.task_id, run)
-        reply = await self._records.change(
-            entry,
-            self._records.reason(
-                Event.TASK_STARTING, f"run {run}: {choice.text}", choice.figures
-            ),
-            (Require(job_key(entry.row["job"]), "cancelled", False),),
-            state=TaskState.STARTING.value,
-            run=run,
-            worker=worker.worker_id,
-            incarnation=fence.incarnation,
-        )
-        if isinstance(reply, Err):
-            self._parts.slots.release(worker.worker_id, run_id)
-            self._placed.remove(entry, worker.worker_id, run_id)
-            return
-        entry.is_settled = False
-        self._emit(Event.TASK_STARTING, entry, run=run, worker=worker.worker_id)
-        await self._call_start(entry, worker, fence)
-
-    async def _call_start(self, entry: Entry, worker: Worker, fence: Fence) -> None:
-        worker_id = worker.worker_id
-        lease_until_ms = self._parts.links.lease_until_ms(worker_id)
-        is_ready = self._parts.links.fence_of(worker_id) == fence
-        if lease_until_ms is None or not is_ready or self._is_leaving(worker_id):
-            why = f"{worker_id} became unavailable before the start; nothing was sent"
-            await self._settler.end_without_report(entry, Event.TASK_QUEUED, why)
-            return
-        self._parts.invariants.run_begins(entry.task_id, entry.run_id)
-        entry.witnessed_ms = self._parts.clock.now_ms()
-        given = self._estimates.given(entry, worker)
-        entry.given_gb = given.memory_gb
-        run = task_run(entry, given)
-        reply = await self._parts.client.start(worker, fence, run, lease_until_ms)
-        if isinstance(reply, Ok):
-            self._parts.measurements.task_started(
-                self._records.shard, worker_id, run.run_id, run.kind
-            )
-            await self._record_running(entry)
-        else:
-            await self._handle_refusal(entry, reply.err_value)
-
-    async def _record_running(self, entry: Entry) -> None:
-        run, worker_id = entry.row["run"], entry.worker_id
-        resumed = entry.row["checkpoint"]
-        event = Event.TASK_STARTED if resumed is None else Event.TASK_RESUMED
-        text = f"run {run} started on {worker_id}"
-        if resumed is not None:
-            text += f" from checkpoint {resumed}"
-        reply = await self._records.change(
-            entry,
-            self._records.reason(event, text),
-            state=TaskState.RUNNING.value,
-        )
-        entry.is_settled = isinstance(reply, Ok)
-        if entry.is_settled:
-            self._emit(event, entry, run=run, worker=worker_id)
-
-    async def _handle_refusal(self, entry: Entry, failure: Failure) -> None:
-        worker_id = entry.worker_id
-        self._settler.note_refusal(failure)
-        if failure.code is Code.STALE_EPOCH:
-            return
-        if failure.outcome is not Outcome.NOT_RUN:
-            await self._settler.reconcile(entry)
-            return
-        if failure.code is Code.WORKER_LEAVING:
-            self.leaving.add(worker_id)
-        self._avoid_until_ms[worker_id] = self._parts.clock.now_ms() + AVOID_MS
-        why = f"{worker_id} did not start run {entry.row['run']}: {failure.detail}"
-        await self._settler.end_without_report(entry, Event.TASK_QUEUED, why)
-
     async def _hold(
         self,
         entry: Entry,
@@ -525,18 +438,3 @@
 
 def _is_held_with_job(entry: Entry) -> bool:
     return HELD_WITH_JOB in entry.row["reasons"][-1].get("figures", {})
-
-
-def task_run(entry: Entry, given: Demand) -> TaskRun:
-    """Return the newest run, with its limits, as a worker takes it."""
-    spec = entry.job.spec
-    return TaskRun(
-        entry.run_id,
-        spec["kind"],
-        spec["run_ms"],
-        given.cores,
-        given.memory_gb,
-        spec.get("accelerators", 0),
-        spec.get("payload", {}),
-        entry.row["checkpoint"],
-    )
--- /dev/null
+++ b/hyssopweir/task_starts.py
@@ -0,0 +1,150 @@
+"""Start of queued tasks: recorded first, then asked of the worker."""
+
+from typing import Any
+
+from result import Err, Ok
+
+from hyssopweir.clock import Millis
+from hyssopweir.codes import Code, Failure, Outcome
+from hyssopweir.contracts import TaskState, run_id_of
+from hyssopweir.estimates import Estimates
+from hyssopweir.events import Event
+from hyssopweir.fleet import Worker
+from hyssopweir.placed import Placed
+from hyssopweir.placement import Choice, Demand
+from hyssopweir.table import Require
+from hyssopweir.task_records import TaskRecords
+from hyssopweir.task_recovery import RunSettler
+from hyssopweir.task_rows import Entry, Parts, job_key
+from hyssopweir.worker_client import Fence, TaskRun
+
+# A worker that refused a start is not tried again for this time.
+AVOID_MS: Millis = 1_000
+
+
+class TaskStarts:
+    """Start the tasks of one shard on workers whose slots were taken for them."""
+
+    def __init__(
+        self,
+        parts: Parts,
+        records: TaskRecords,
+        settler: RunSettler,
+        placed: Placed,
+        estimates: Estimates,
+    ) -> None:
+        self._parts = parts
+        self._records = records
+        self._settler = settler
+        self._placed = placed
+        self._estimates = estimates
+        self._avoid_until_ms: dict[str, Millis] = {}
+        self.leaving: set[str] = set()
+
+    def is_leaving(self, worker_id: str) -> bool:
+        """Tell whether a worker is listed as leaving, or has said so."""
+        listed = self._parts.view.leaving_since_ms(worker_id) is not None
+        return listed or worker_id in self.leaving
+
+    def is_avoided(self, worker_id: str) -> bool:
+        """Tell whether a worker has refused a start a moment ago."""
+        return self._avoid_until_ms.get(worker_id, 0) > self._parts.clock.now_ms()
+
+    async def start(
+        self,
+        entry: Entry,
+        worker: Worker,
+        fence: Fence,
+        choice: Choice,
+    ) -> None:
+        """Record a run, then call the worker; what follows is recorded as well."""
+        run = entry.row["run"] + 1
+        run_id = run_id_of(entry.task_id, run)
+        reply = await self._records.change(
+            entry,
+            self._records.reason(
+                Event.TASK_STARTING, f"run {run}: {choice.text}", choice.figures
+            ),
+            (Require(job_key(entry.row["job"]), "cancelled", False),),
+            state=TaskState.STARTING.value,
+            run=run,
+            worker=worker.worker_id,
+            incarnation=fence.incarnation,
+        )
+        if isinstance(reply, Err):
+            self._parts.slots.release(worker.worker_id, run_id)
+            self._placed.remove(entry, worker.worker_id, run_id)
+            return
+        entry.is_settled = False
+        self._emit(Event.TASK_STARTING, entry, run=run, worker=worker.worker_id)
+        await self._call_start(entry, worker, fence)
+
+    async def _call_start(self, entry: Entry, worker: Worker, fence: Fence) -> None:
+        worker_id = worker.worker_id
+        lease_until_ms = self._parts.links.lease_until_ms(worker_id)
+        is_ready = self._parts.links.fence_of(worker_id) == fence
+        if lease_until_ms is None or not is_ready or self.is_leaving(worker_id):
+            why = f"{worker_id} became unavailable before the start; nothing was sent"
+            await self._settler.end_without_report(entry, Event.TASK_QUEUED, why)
+            return
+        self._parts.invariants.run_begins(entry.task_id, entry.run_id)
+        entry.witnessed_ms = self._parts.clock.now_ms()
+        given = self._estimates.given(entry, worker)
+        entry.given_gb = given.memory_gb
+        run = task_run(entry, given)
+        reply = await self._parts.client.start(worker, fence, run, lease_until_ms)
+        if isinstance(reply, Ok):
+            self._parts.measurements.task_started(
+                self._records.shard, worker_id, run.run_id, run.kind
+            )
+            await self._record_running(entry)
+        else:
+            await self._handle_refusal(entry, reply.err_value)
+
+    async def _record_running(self, entry: Entry) -> None:
+        run, worker_id = entry.row["run"], entry.worker_id
+        resumed = entry.row["checkpoint"]
+        event = Event.TASK_STARTED if resumed is None else Event.TASK_RESUMED
+        text = f"run {run} started on {worker_id}"
+        if resumed is not None:
+            text += f" from checkpoint {resumed}"
+        reply = await self._records.change(
+            entry,
+            self._records.reason(event, text),
+            state=TaskState.RUNNING.value,
+        )
+        entry.is_settled = isinstance(reply, Ok)
+        if entry.is_settled:
+            self._emit(event, entry, run=run, worker=worker_id)
+
+    async def _handle_refusal(self, entry: Entry, failure: Failure) -> None:
+        worker_id = entry.worker_id
+        self._settler.note_refusal(failure)
+        if failure.code is Code.STALE_EPOCH:
+            return
+        if failure.outcome is not Outcome.NOT_RUN:
+            await self._settler.reconcile(entry)
+            return
+        if failure.code is Code.WORKER_LEAVING:
+            self.leaving.add(worker_id)
+        self._avoid_until_ms[worker_id] = self._parts.clock.now_ms() + AVOID_MS
+        why = f"{worker_id} did not start run {entry.row['run']}: {failure.detail}"
+        await self._settler.end_without_report(entry, Event.TASK_QUEUED, why)
+
+    def _emit(self, event: Event, entry: Entry, **fields: Any) -> None:
+        self._parts.log.emit(event, task=entry.task_id, **fields)
+
+
+def task_run(entry: Entry, given: Demand) -> TaskRun:
+    """Return the newest run, with its limits, as a worker takes it."""
+    spec = entry.job.spec
+    return TaskRun(
+        entry.run_id,
+        spec["kind"],
+        spec["run_ms"],
+        given.cores,
+        given.memory_gb,
+        spec.get("accelerators", 0),
+        spec.get("payload", {}),
+        entry.row["checkpoint"],
+    )
