Derive the kinds on a worker from its tasks; say a condition once

Placed kept the kind of each run beside the task that holds it, and the check of a probe asked twice whether there was a latency.

--- a/hyssopweir/placed.py
+++ b/hyssopweir/placed.py
@@ -13,21 +13,18 @@
         self._runs: dict[str, dict[str, Entry]] = {}
         self._teams: dict[str, dict[str, set[str]]] = {}
         self._workers: dict[str, set[str]] = {}
-        self._kinds: dict[str, dict[str, str]] = {}
         self._failures: dict[str, int] = {}
 
     def add(self, entry: Entry, worker_id: str, run_id: str) -> None:
         """Count a run that starts, or that was found after a change of owner."""
         shard, team = entry.row["shard"], entry.job.spec["team"]
         self._runs.setdefault(worker_id, {})[run_id] = entry
-        self._kinds.setdefault(worker_id, {})[run_id] = entry.job.spec["kind"]
         self._workers.setdefault(shard, set()).add(worker_id)
         self._teams.setdefault(shard, {}).setdefault(team, set()).add(run_id)
 
     def remove(self, entry: Entry, worker_id: str, run_id: str) -> None:
         """Stop counting a run that ended."""
         self._runs.get(worker_id, {}).pop(run_id, None)
-        self._kinds.get(worker_id, {}).pop(run_id, None)
         teams = self._teams.get(entry.row["shard"], {})
         teams.get(entry.job.spec["team"], set()).discard(run_id)
 
@@ -35,7 +32,6 @@
         """Stop counting all runs of a shard, those included that were to start."""
         for worker_id in self._workers.pop(shard, ()):
             self._runs.pop(worker_id, None)
-            self._kinds.pop(worker_id, None)
         self._teams.pop(shard, None)
 
     def on(self, worker_id: str) -> list[Demand]:
@@ -48,7 +44,8 @@
 
     def has_kind(self, worker_id: str, kind: str) -> bool:
         """Tell whether a task of a kind runs on a worker, or is to start there."""
-        return kind in self._kinds.get(worker_id, {}).values()
+        entries = self._runs.get(worker_id, {}).values()
+        return any(entry.job.spec["kind"] == kind for entry in entries)
 
     def of_team(self, shard: str, team: str) -> int:
         """Return the number of a team's runs in a shard."""
--- a/hyssopweir/worker_health.py
+++ b/hyssopweir/worker_health.py
@@ -260,8 +260,11 @@
             return
         health.is_probed = False
         others_ms = self._others_ms(health, shard, service)
-        is_slow = latency_ms is not None and _is_slow(latency_ms, others_ms)
-        if health.is_slow and latency_ms is not None and is_slow:
+        if (
+            health.is_slow
+            and latency_ms is not None
+            and _is_slow(latency_ms, others_ms)
+        ):
             reason = _slowness(f"probe with {service}", latency_ms, others_ms)
             self._eject(health, shard, reason, is_slow=True)
             return
