Run jobs of steps on the users' platform, first thin path

Cause: the product spoke only to its own stand-ins. One owner for a cell of workers, fenced by its row in the store, places the tasks of all accepted jobs; entry instances accept a job by storing it.

--- a/hyssopweir/advice.py
+++ b/hyssopweir/advice.py
@@ -39,6 +39,7 @@
     Code.STORE_OUTCOME_UNKNOWN: "Repeat the same call; it takes effect once at most.",
     Code.STORE_JUNK: "Check the table service and its address in the settings.",
     Code.LIST_UNAVAILABLE: "Wait for the platform; the last list stays in use.",
+    Code.STORE_HISTORY_LOST: "Read the rows again.",
     Code.PEER_UNREACHABLE: "Check --address, or try another instance.",
     Code.PEER_VERSION: "Bring all instances to the same version.",
     Code.PEER_JUNK: "Check that the address is that of an entry instance.",
--- /dev/null
+++ b/hyssopweir/cell.py
@@ -0,0 +1,283 @@
+"""One cell: a set of workers and jobs that one instance at a time looks after."""
+
+import asyncio
+from collections.abc import Mapping
+from typing import Protocol
+
+from result import Err, Result
+
+from hyssopweir.agent_link import UNKNOWN_LEASE_MS, AgentLink
+from hyssopweir.agents import Agent, WorkerEntry
+from hyssopweir.cell_ownership import CellOwnership, Ownership, encode_beat
+from hyssopweir.cell_scheduler import CellScheduler
+from hyssopweir.cell_state import (
+    CANCEL_SUFFIX,
+    PROGRESS,
+    QUEUES_KEY,
+    REQUESTS,
+    CellState,
+)
+from hyssopweir.cell_upkeep import CellUpkeep
+from hyssopweir.clock import Clock, Millis
+from hyssopweir.codes import Code, Failure
+from hyssopweir.events import Event, EventLog
+from hyssopweir.row_commits import OwnershipLostError, RowCommits
+from hyssopweir.row_store import RowKey, RowStore, StoredRow, read_all
+from hyssopweir.run_orders import RunOrders
+from hyssopweir.run_reports import RunReports
+from hyssopweir.workflow_progress import WorkflowProgress
+from hyssopweir.workflows import decode_workflow
+
+READ_TIMEOUT_MS: Millis = 1_500
+WATCH_MS: Millis = 1_000
+RETRY_MS: Millis = 60
+LISTING_PAUSE_MS: Millis = 150
+# A worker that is not listed and runs nothing is dropped after that time.
+DROP_MS: Millis = 15_000
+HAND_OVER_MS: Millis = 700
+
+
+class WorkerListing(Protocol):
+    """List the workers that the platform knows."""
+
+    async def refresh(self) -> Result[Mapping[str, WorkerEntry], Failure]:
+        """Return the entries by worker once they may have changed."""
+        ...
+
+
+class Cell:
+    """Own a cell from one acquisition to its loss or release."""
+
+    def __init__(
+        self,
+        name: str,
+        life: str,
+        ownership: Ownership,
+        owners: CellOwnership,
+        store: RowStore,
+        agent: Agent,
+        listing: WorkerListing,
+        keep_ms: Millis,
+        clock: Clock,
+        log: EventLog,
+    ) -> None:
+        self._life = life
+        self._ownership = ownership
+        self._owners = owners
+        self._store = store
+        self._agent = agent
+        self._listing = listing
+        self._clock = clock
+        self._log = log
+        self.state = CellState(name, ownership.epoch, clock, log)
+        self.state.commits = RowCommits(
+            store, ownership.guard, self._encode, clock, log
+        )
+        self._orders = RunOrders(self.state)
+        self._reports = RunReports(self.state, self._orders)
+        self._scheduler = CellScheduler(self.state, self._orders)
+        self._upkeep = CellUpkeep(self.state, self._orders, owners.beat_key, keep_ms)
+        self._lost = asyncio.Event()
+        self._holds: dict[str, asyncio.Task[None]] = {}
+        self._unlisted_ms: dict[str, Millis] = {}
+        self._beats = 0
+        self._requests_version = 0
+
+    async def run(self) -> None:
+        """Look after the cell; raise ``OwnershipLostError`` when superseded."""
+        tasks: list[asyncio.Task[None]] = []
+        try:
+            await self._recover()
+            loop = asyncio.get_running_loop()
+            parts = (
+                self.state.commits.run(),
+                self._watch_requests(),
+                self._watch_workers(),
+                self._scheduler.run(),
+                self._upkeep.run(),
+                self._await_loss(),
+            )
+            tasks = [loop.create_task(part) for part in parts]
+            done, _ = await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+            for task in done:
+                task.result()
+        finally:
+            for task in [*tasks, *self._holds.values()]:
+                task.cancel()
+            self._orders.close()
+            self.state.commits.fail()
+
+    async def hand_over(self) -> None:
+        """Finish what was ordered, store it, and let another instance take over."""
+        await self._orders.drain(HAND_OVER_MS)
+        await asyncio.wait([self.state.commits.stored()], timeout=HAND_OVER_MS / 1_000)
+        await self._owners.release(self._ownership)
+        self._lost.set()
+
+    async def _await_loss(self) -> None:
+        await self._lost.wait()
+        raise OwnershipLostError
+
+    def _encode(self, key: RowKey) -> bytes | None:
+        if key == self._owners.beat_key:
+            self._beats += 1
+            return encode_beat(self._life, self._beats)
+        if key.table == REQUESTS:
+            return None
+        if key.key == QUEUES_KEY:
+            return self._upkeep.encode_queues()
+        progress = self.state.jobs.get(key.key)
+        return progress.encode(self.state.next_stamp()) if progress else None
+
+    async def _recover(self) -> None:
+        started_ms = self._clock.now_ms()
+        # The guard keeps former owners from writing while both tables are read.
+        requests = await self._read(REQUESTS)
+        self._requests_version = requests[1]
+        progress = await self._read(PROGRESS)
+        beats = await self._read(self._owners.beat_key.table)
+        for row in [*beats[0], *progress[0]]:
+            self.state.commits.learn(row.at, row.version)
+        stored = {row.at.key: row for row in progress[0]}
+        for row in requests[0]:
+            self._take_request(row, stored)
+        self._log.emit(
+            Event.CELL_RECOVERED,
+            cell=self.state.cell,
+            epoch=self.state.epoch,
+            jobs=len(self.state.jobs),
+            took_ms=self._clock.now_ms() - started_ms,
+        )
+
+    async def _read(self, table: str) -> tuple[list[StoredRow], int]:
+        while True:
+            reply = await read_all(self._store, table, self.state.cell, READ_TIMEOUT_MS)
+            if not isinstance(reply, Err):
+                return reply.ok_value.rows, reply.ok_value.version
+            await self._clock.sleep_ms(RETRY_MS)
+
+    async def _watch_requests(self) -> None:
+        while True:
+            reply = await self._store.watch(
+                REQUESTS,
+                self._requests_version,
+                WATCH_MS,
+                WATCH_MS + READ_TIMEOUT_MS,
+            )
+            if isinstance(reply, Err):
+                await self._clock.sleep_ms(RETRY_MS)
+                if reply.err_value.code is not Code.STORE_HISTORY_LOST:
+                    continue
+                rows, self._requests_version = await self._read(REQUESTS)
+            else:
+                rows = reply.ok_value.rows
+                self._requests_version = reply.ok_value.version
+            for row in rows:
+                if row.at.part == self.state.cell:
+                    self._take_request(row, {})
+
+    def _take_request(self, row: StoredRow, stored: Mapping[str, StoredRow]) -> None:
+        """Take an accepted job or a cancellation."""
+        key = row.at.key
+        if row.is_deleted:
+            return
+        self.state.commits.learn(row.at, row.version)
+        if key.endswith(CANCEL_SUFFIX):
+            self._cancel(key.removesuffix(CANCEL_SUFFIX))
+            return
+        if key in self.state.jobs:
+            return
+        try:
+            progress = WorkflowProgress(decode_workflow(row.value))
+            if key in stored:
+                progress.restore(stored[key].value, self._clock.now_ms())
+        except (ValueError, KeyError, TypeError) as exc:
+            self._log.emit(Event.BAD_INPUT, row=key, error=repr(exc))
+            return
+        self.state.add(progress)
+
+    def _cancel(self, job: str) -> None:
+        progress = self.state.jobs.get(job)
+        if progress is None or progress.is_final():
+            return
+        progress.cancel(self._clock.now_ms())
+        self.state.changed(progress)
+        self._orders.stop_job(job, "job is cancelled")
+
+    async def _watch_workers(self) -> None:
+        while True:
+            reply = await self._listing.refresh()
+            if isinstance(reply, Err):
+                # The last listing stays in use while the store is away.
+                await self._clock.sleep_ms(RETRY_MS)
+                continue
+            self._sync_workers(reply.ok_value)
+            await self._clock.sleep_ms(LISTING_PAUSE_MS)
+
+    def _sync_workers(self, entries: Mapping[str, WorkerEntry]) -> None:
+        for worker_id, entry in entries.items():
+            link = self.state.links.get(worker_id)
+            if link is None:
+                self._open_link(entry)
+                continue
+            if link.entry != entry:
+                link.load.entry = entry
+                self.state.wake.set()
+        self._end_replaced(entries)
+        now_ms = self._clock.now_ms()
+        for worker_id, link in list(self.state.links.items()):
+            link.load.is_listed = worker_id in entries
+            if link.load.is_listed:
+                self._unlisted_ms.pop(worker_id, None)
+            elif now_ms - self._unlisted_ms.setdefault(worker_id, now_ms) > DROP_MS:
+                self._drop_link(link)
+        self._lapse_unknown(entries, now_ms)
+
+    def _open_link(self, entry: WorkerEntry) -> None:
+        link = AgentLink(
+            entry,
+            self.state.epoch,
+            self._agent,
+            self._clock,
+            self._log,
+            self._reports.take,
+            self._lost.set,
+            lambda link: self._reports.lapse_all(link, "lease has ended"),
+        )
+        self.state.links[entry.worker_id] = link
+        loop = asyncio.get_running_loop()
+        self._holds[entry.worker_id] = loop.create_task(link.run())
+
+    def _drop_link(self, link: AgentLink) -> None:
+        if link.load.runs:
+            return
+        worker_id = link.entry.worker_id
+        self._log.emit(Event.WORKER_GONE, worker=worker_id)
+        self._holds.pop(worker_id).cancel()
+        del self.state.links[worker_id]
+        self._unlisted_ms.pop(worker_id, None)
+
+    def _end_replaced(self, entries: Mapping[str, WorkerEntry]) -> None:
+        """End the runs of workers whose place another worker has taken."""
+        places = {(entry.host, entry.port): entry for entry in entries.values()}
+        for worker_id, link in self.state.links.items():
+            if not link.load.runs:
+                continue
+            successor = places.get((link.entry.host, link.entry.port))
+            if successor is not None and worker_id not in entries:
+                self._reports.lapse_all(link, "another worker has its address")
+
+    def _lapse_unknown(
+        self, entries: Mapping[str, WorkerEntry], now_ms: Millis
+    ) -> None:
+        """End runs on workers that were never heard of since the cell was acquired."""
+        unknown: dict[str, list[WorkflowProgress]] = {}
+        for progress in self.state.jobs.values():
+            for run in progress.runs():
+                if run.worker not in self.state.links and run.worker not in entries:
+                    unknown.setdefault(run.worker, []).append(progress)
+        for worker_id in unknown:
+            since_ms = self._unlisted_ms.setdefault(worker_id, now_ms)
+            if now_ms - since_ms > UNKNOWN_LEASE_MS:
+                self._reports.lapse_unlisted(worker_id)
+                self._unlisted_ms.pop(worker_id, None)
--- /dev/null
+++ b/hyssopweir/cell_scheduler.py
@@ -0,0 +1,120 @@
+"""Placing of waiting tasks, by priority and then by the deadline of their job."""
+
+from collections.abc import Iterator
+from typing import NamedTuple
+
+from hyssopweir.agent_link import SILENCE_MS, AgentLink
+from hyssopweir.cell_state import CellState
+from hyssopweir.clock import Millis
+from hyssopweir.events import Event
+from hyssopweir.room import Room
+from hyssopweir.run_orders import RunOrders
+from hyssopweir.step_placement import choose_worker
+from hyssopweir.worker_load import WorkerLoad
+from hyssopweir.workflow_progress import Run, TaskRef, WorkflowProgress
+from hyssopweir.workflows import Step
+
+# Bounds the time of one pass when far more waits than fits.
+MOST_REFUSED = 24
+
+
+class Demand(NamedTuple):
+    """Name what a task needs, so that others with the same need are skipped."""
+
+    service: str
+    charge: Room
+    label: str
+
+
+class CellScheduler:
+    """Record runs for the waiting tasks of a cell."""
+
+    def __init__(self, state: CellState, orders: RunOrders) -> None:
+        self._state = state
+        self._orders = orders
+
+    async def run(self) -> None:
+        """Place whenever something may have become possible."""
+        while True:
+            await self._state.wake.wait()
+            self._state.wake.clear()
+            if not self._orders.is_closed:
+                self.place()
+
+    def place(self) -> None:
+        """Place what fits now."""
+        now_ms = self._state.now_ms()
+        loads = self._loads(now_ms)
+        started: list[tuple[Run, AgentLink]] = []
+        full: set[Demand] = set()
+        for progress in self._by_urgency():
+            if len(full) >= MOST_REFUSED:
+                break
+            started.extend(self._place_job(progress, loads, full, now_ms))
+        if started:
+            self._orders.start_when_stored(started)
+
+    def _by_urgency(self) -> list[WorkflowProgress]:
+        jobs = [self._state.jobs[job] for job in self._state.unplaced]
+        return sorted(jobs, key=_urgency)
+
+    def _loads(self, now_ms: Millis) -> dict[str, list[WorkerLoad]]:
+        loads: dict[str, list[WorkerLoad]] = {}
+        for link in self._state.links.values():
+            if link.load.takes_work(now_ms, SILENCE_MS):
+                loads.setdefault(link.entry.service, []).append(link.load)
+        return loads
+
+    def _place_job(
+        self,
+        progress: WorkflowProgress,
+        loads: dict[str, list[WorkerLoad]],
+        full: set[Demand],
+        now_ms: Millis,
+    ) -> Iterator[tuple[Run, AgentLink]]:
+        job = progress.workflow.job
+        service = progress.workflow.service
+        left = False
+        placed = False
+        for ref, step, task in list(progress.waiting()):
+            demand = Demand(service, step.charge, step.label)
+            if demand in full:
+                left = True
+                continue
+            load = choose_worker(ref, step, task, loads.get(service, ()), now_ms)
+            if load is None:
+                left = True
+                if not step.most_per_worker:
+                    full.add(demand)
+                continue
+            placed = True
+            yield self._begin(progress, ref, step, load, now_ms)
+        if placed:
+            self._state.commits.mark(self._state.progress_key(job))
+        if not left:
+            self._state.unplaced.discard(job)
+
+    def _begin(
+        self,
+        progress: WorkflowProgress,
+        ref: TaskRef,
+        step: Step,
+        load: WorkerLoad,
+        now_ms: Millis,
+    ) -> tuple[Run, AgentLink]:
+        link = self._state.links[load.entry.worker_id]
+        run = progress.begin(ref, load.entry.worker_id, link.born_ms, now_ms)
+        load.take(run, step)
+        self._state.log.emit(
+            Event.TASK_STARTING,
+            task=str(ref),
+            run=run.ref.run,
+            worker=run.worker,
+            free_cpu=load.free.cpu,
+        )
+        return run, link
+
+
+def _urgency(progress: WorkflowProgress) -> tuple[int, Millis]:
+    workflow = progress.workflow
+    return workflow.priority, workflow.accepted_ms + workflow.objective_ms()
--- /dev/null
+++ b/hyssopweir/cell_state.py
@@ -0,0 +1,115 @@
+"""What the owner of a cell knows: its jobs, its workers and the rows that hold both."""
+
+import asyncio
+from collections.abc import Iterator
+
+from hyssopweir.agent_link import AgentLink
+from hyssopweir.clock import Clock, Millis
+from hyssopweir.events import Event, EventLog
+from hyssopweir.row_commits import RowCommits
+from hyssopweir.row_store import RowKey
+from hyssopweir.workflow_progress import (
+    Run,
+    Task,
+    TaskRef,
+    WorkflowProgress,
+    WorkflowState,
+)
+from hyssopweir.workflows import Step
+
+REQUESTS = "requests"
+PROGRESS = "progress"
+# Follows every job id, which has no such character.
+CANCEL_SUFFIX = "!"
+QUEUES_KEY = "!queues"
+
+FINAL_EVENTS = {
+    WorkflowState.COMPLETED: Event.JOB_DONE,
+    WorkflowState.FAILED: Event.JOB_FAILED,
+    WorkflowState.CANCELLED: Event.JOB_CANCELLED,
+}
+
+
+class CellState:
+    """Hold the jobs and links of one cell, and mark what has to be stored."""
+
+    def __init__(self, cell: str, epoch: int, clock: Clock, log: EventLog) -> None:
+        self.cell = cell
+        self.epoch = epoch
+        self.clock = clock
+        self.log = log
+        self.jobs: dict[str, WorkflowProgress] = {}
+        self.links: dict[str, AgentLink] = {}
+        # Jobs that may have tasks to place.
+        self.unplaced: set[str] = set()
+        self.wake = asyncio.Event()
+        self.commits: RowCommits
+        self._shown_final: set[str] = set()
+        self._stamp = 0
+
+    def progress_key(self, job: str) -> RowKey:
+        """Return the row of a job's progress."""
+        return RowKey(PROGRESS, self.cell, job)
+
+    def next_stamp(self) -> str:
+        """Return a stamp that no other write has."""
+        self._stamp += 1
+        return f"{self.epoch}.{self._stamp}"
+
+    def add(self, progress: WorkflowProgress) -> None:
+        """Take over a job."""
+        self.jobs[progress.workflow.job] = progress
+        progress.open_due(self.clock.wall_ms())
+        self.want_placing(progress.workflow.job)
+
+    def want_placing(self, job: str) -> None:
+        """Have the waiting tasks of a job placed soon."""
+        self.unplaced.add(job)
+        self.wake.set()
+
+    def changed(self, progress: WorkflowProgress) -> None:
+        """Have the progress of a job stored, and logged if it is final."""
+        job = progress.workflow.job
+        self.commits.mark(self.progress_key(job))
+        if progress.is_final():
+            self.unplaced.discard(job)
+            if job not in self._shown_final:
+                self._shown_final.add(job)
+                state = progress.state
+                self.log.emit(FINAL_EVENTS[state], job=job)
+        else:
+            self.want_placing(job)
+
+    def forget(self, job: str) -> None:
+        """Drop a job whose rows are gone."""
+        self.jobs.pop(job, None)
+        self.unplaced.discard(job)
+        self._shown_final.discard(job)
+
+    def find(self, ref: TaskRef) -> tuple[WorkflowProgress, Step, Task] | None:
+        """Return the job, step and task of a name, None if there is none."""
+        progress = self.jobs.get(ref.job)
+        task = progress.task(ref) if progress is not None else None
+        if progress is None or task is None:
+            return None
+        return progress, progress.workflow.steps[ref.step], task
+
+    def runs_on(self, worker_id: str) -> Iterator[Run]:
+        """Yield the recorded runs on a worker."""
+        for progress in self.jobs.values():
+            for run in progress.runs():
+                if run.worker == worker_id:
+                    yield run
+
+    def pending_by_queue(self) -> dict[str, int]:
+        """Return how many jobs of each queue have not begun."""
+        counts: dict[str, int] = {}
+        for progress in self.jobs.values():
+            if progress.state is WorkflowState.PENDING:
+                queue = progress.workflow.queue
+                counts[queue] = counts.get(queue, 0) + 1
+        return counts
+
+    def now_ms(self) -> Millis:
+        """Return monotonic milliseconds."""
+        return self.clock.now_ms()
--- /dev/null
+++ b/hyssopweir/cell_upkeep.py
@@ -0,0 +1,146 @@
+"""Periodic work of a cell's owner: beats, due times, pacing, drains and cleanup."""
+
+import json
+
+from hyssopweir.agent_link import AgentLink
+from hyssopweir.agents import WorkerState
+from hyssopweir.cell_ownership import BEAT_INTERVAL_MS
+from hyssopweir.cell_state import CANCEL_SUFFIX, QUEUES_KEY, REQUESTS, CellState
+from hyssopweir.clock import Millis
+from hyssopweir.events import Event
+from hyssopweir.filler_pacing import FillerPacing
+from hyssopweir.row_store import RowKey
+from hyssopweir.run_orders import RunOrders
+from hyssopweir.workflow_progress import Run, RunPhase
+from hyssopweir.workflows import Step
+
+TICK_MS: Millis = 100
+QUEUES_INTERVAL_MS: Millis = 500
+# Rows are deleted some time after the state of an ended job need not be shown.
+EXTRA_KEEP_MS: Millis = 30_000
+MOST_DELETED = 20
+# A run on a worker that leaves is left alone if it should end that long before.
+LEAVING_MARGIN_MS: Millis = 500
+# Progress that stands still for that long, and a multiple of the estimate, is stuck.
+STALL_MS: Millis = 2_500
+STALL_EJECTION_MS: Millis = 3_000
+
+
+class CellUpkeep:
+    """Look at all jobs and workers of a cell every ``TICK_MS``."""
+
+    def __init__(
+        self, state: CellState, orders: RunOrders, beat_key: RowKey, keep_ms: Millis
+    ) -> None:
+        self._state = state
+        self._orders = orders
+        self._beat_key = beat_key
+        self._keep_ms = keep_ms + EXTRA_KEEP_MS
+        self._pacing: dict[str, FillerPacing] = {}
+        self._beat_ms: Millis = 0
+        self._queues_ms: Millis = 0
+        self._queues: dict[str, int] | None = None
+
+    async def run(self) -> None:
+        """Tick until cancelled."""
+        while True:
+            self._tick(self._state.now_ms())
+            await self._state.clock.sleep_ms(TICK_MS)
+
+    def _tick(self, now_ms: Millis) -> None:
+        if now_ms - self._beat_ms >= BEAT_INTERVAL_MS:
+            self._beat_ms = now_ms
+            self._state.commits.mark(self._beat_key)
+        if now_ms - self._queues_ms >= QUEUES_INTERVAL_MS:
+            self._queues_ms = now_ms
+            self._publish_queues()
+            self._delete_old(now_ms)
+        self._open_due()
+        for link in list(self._state.links.values()):
+            self._pace_fillers(link, now_ms)
+            if link.entry.state is WorkerState.LEAVING:
+                self._leave(link, now_ms)
+            self._free_stalled(link, now_ms)
+        if self._state.unplaced:
+            self._state.wake.set()
+
+    def _publish_queues(self) -> None:
+        queues = self._state.pending_by_queue()
+        if queues != self._queues:
+            self._queues = queues
+            self._state.commits.mark(self._state.progress_key(QUEUES_KEY))
+
+    def encode_queues(self) -> bytes:
+        """Return the row with the number of jobs of each queue that have not begun."""
+        queues = self._queues or {}
+        return json.dumps({"stamp": self._state.next_stamp(), **queues}).encode()
+
+    def _open_due(self) -> None:
+        wall_ms = self._state.clock.wall_ms()
+        for job, progress in self._state.jobs.items():
+            is_scheduled = progress.workflow.occurrences and not progress.is_final()
+            if is_scheduled and progress.open_due(wall_ms):
+                self._state.want_placing(job)
+
+    def _delete_old(self, now_ms: Millis) -> None:
+        """Delete the rows of jobs that ended long ago; nothing runs of them."""
+        old = [
+            job
+            for job, progress in self._state.jobs.items()
+            if progress.is_final()
+            and now_ms - progress.finished_ms > self._keep_ms
+            and not any(progress.runs())
+        ]
+        for job in old[:MOST_DELETED]:
+            self._state.forget(job)
+            for key in (job, job + CANCEL_SUFFIX):
+                self._state.commits.mark(RowKey(REQUESTS, self._state.cell, key))
+            self._state.commits.mark(self._state.progress_key(job))
+
+    def _pace_fillers(self, link: AgentLink, now_ms: Millis) -> None:
+        if not link.load.fillers:
+            return
+        pacing = self._pacing.setdefault(link.entry.worker_id, FillerPacing())
+        for run, percent in pacing.decide(link.load, now_ms):
+            self._orders.pace(run, link, percent, "tail of a task beside it")
+
+    def _leave(self, link: AgentLink, now_ms: Millis) -> None:
+        """Stop what would not end before the worker leaves."""
+        for run, step in list(link.load.runs.values()):
+            if run.phase is not RunPhase.RUNNING:
+                continue
+            if step.is_endless or not ends_within(
+                run, step, link.entry.leaves_in_ms - LEAVING_MARGIN_MS, now_ms
+            ):
+                self._orders.stop(run, link, "worker leaves")
+
+    def _free_stalled(self, link: AgentLink, now_ms: Millis) -> None:
+        """Stop runs that make no progress and place nothing there for a while."""
+        for run, step in list(link.load.runs.values()):
+            if is_stalled(run, step, now_ms, link.load.heard_ms):
+                link.load.eject(now_ms, STALL_EJECTION_MS)
+                self._state.log.emit(
+                    Event.TASK_STALLED, task=str(run.ref.task), worker=run.worker
+                )
+                self._orders.stop(run, link, "no progress")
+
+
+def ends_within(run: Run, step: Step, limit_ms: Millis, now_ms: Millis) -> bool:
+    """Tell whether a run should end within ``limit_ms``."""
+    passed_ms = now_ms - run.since_ms
+    if run.percent >= 100:
+        return True
+    expected_ms = step.estimated_ms
+    if run.percent > 0:
+        expected_ms = passed_ms * 100 // run.percent
+    return expected_ms - passed_ms <= limit_ms
+
+
+def is_stalled(run: Run, step: Step, now_ms: Millis, heard_ms: Millis) -> bool:
+    """Tell whether the worker lives, but the run makes no progress."""
+    if run.phase is not RunPhase.RUNNING or run.pace < 100 or step.is_filler:
+        return False
+    if step.is_endless and run.percent >= 100:
+        return False
+    # One percent takes estimated_ms / 100, and estimates may be far too low.
+    return heard_ms - run.moved_ms > max(STALL_MS, step.estimated_ms // 5)
--- /dev/null
+++ b/hyssopweir/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Adapter for the users' platform: its names, formats and calls; it decides nothing."""
--- /dev/null
+++ b/hyssopweir/platform/__main__.py
@@ -0,0 +1,35 @@
+"""Run an instance on the platform."""
+
+import asyncio
+import gc
+import sys
+
+from result import Err
+
+from hyssopweir.clock import Clock
+from hyssopweir.events import configure_logging
+from hyssopweir.platform.instance import PlatformInstance
+from hyssopweir.platform.settings import load_platform_settings, settings_path
+
+
+def main() -> int:
+    """Return the exit status: 0 after a planned stop, else the number of a fault."""
+    loaded = load_platform_settings(settings_path())
+    if isinstance(loaded, Err):
+        for fault in loaded.err_value:
+            print(fault, file=sys.stderr)
+        return int(loaded.err_value[0].code)
+    settings = loaded.ok_value
+    configure_logging(settings.log_level)
+    # Modules that are loaded never become garbage.
+    gc.freeze()
+    asyncio.run(_run(PlatformInstance(settings, Clock())))
+    return 0
+
+
+async def _run(instance: PlatformInstance) -> None:
+    await instance.run()
+
+
+if __name__ == "__main__":
+    raise SystemExit(main())
--- /dev/null
+++ b/hyssopweir/platform/frontend.py
@@ -0,0 +1,183 @@
+"""HTTP interface for callers and the load balancer."""
+
+import json
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+from aiohttp import web
+from result import Err
+
+from hyssopweir.clock import Clock, Millis
+from hyssopweir.codes import Code, Failure, Outcome, failure_to_dict, not_run
+from hyssopweir.events import Event, EventLog
+from hyssopweir.platform.job_bodies import JOB_ID, workflow_of
+from hyssopweir.queue_policies import QueuePolicy, QueueTable
+from hyssopweir.workflow_desk import WorkflowDesk
+
+DEFAULT_DEADLINE_MS: Millis = 3_000
+RETRY_AFTER_S = "1"
+KEEP_ALIVE_S = 30.0
+
+STATUS_BY_CODE = {
+    Code.BAD_REQUEST: 400,
+    Code.BODY_TOO_LARGE: 413,
+    Code.NOT_FOUND: 410,
+    Code.UNKNOWN_SERVICE: 404,
+    Code.NOT_READY: 503,
+    Code.STORE_UNAVAILABLE: 503,
+    Code.STORE_OUTCOME_UNKNOWN: 504,
+    Code.CANCELLED: 429,
+    Code.OVERLOADED: 429,
+    Code.NO_CAPACITY: 429,
+}
+RETRYABLE = frozenset({429, 503})
+
+Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
+
+
+class Frontend:
+    """Translate calls of callers for the desk."""
+
+    def __init__(
+        self, queues: QueueTable, desk: WorkflowDesk, clock: Clock, log: EventLog
+    ) -> None:
+        self._queues = queues
+        self._desk = desk
+        self._clock = clock
+        self._log = log
+        self.in_progress = 0
+        self.is_stopping = False
+
+    async def handle(self, req: web.BaseRequest) -> web.StreamResponse:
+        """Answer one request of a caller."""
+        self.in_progress += 1
+        try:
+            response = await self._answer(req)
+        finally:
+            self.in_progress -= 1
+        if self.is_stopping:
+            response.force_close()
+        return response
+
+    async def _answer(self, req: web.BaseRequest) -> web.Response:
+        if not self._queues.version:
+            return self._refuse(
+                req, not_run(Code.NOT_READY, "no configuration was read yet")
+            )
+        host = req.host.rsplit(":", 1)[0]
+        queue = self._queues.find(host, req.path)
+        if queue is None:
+            return self._refuse(req, not_run(Code.UNKNOWN_SERVICE, "no such queue"))
+        job = req.path[len(queue.prefix) :]
+        patience_ms = _patience_ms(req)
+        if req.method == "POST":
+            return await self._submit(req, queue, job, patience_ms)
+        if req.method == "GET" and not job:
+            return await self._count(req, queue, patience_ms)
+        if req.method == "GET":
+            return await self._show(req, job, patience_ms)
+        if req.method == "DELETE" and job:
+            return await self._cancel(req, job, patience_ms)
+        return self._refuse(req, not_run(Code.BAD_REQUEST, "unknown method"))
+
+    async def _submit(
+        self, req: web.BaseRequest, queue: QueuePolicy, job: str, patience_ms: Millis
+    ) -> web.Response:
+        if not JOB_ID.fullmatch(job):
+            return self._refuse(req, not_run(Code.BAD_REQUEST, "malformed job id"))
+        body = await _read_body(req, self._queues.most_body_bytes)
+        if body is None:
+            return self._refuse(req, not_run(Code.BODY_TOO_LARGE, "body too large"))
+        try:
+            wall_ms = self._clock.wall_ms()
+            workflow = workflow_of(job, json.loads(body), queue, wall_ms)
+        except (KeyError, TypeError, ValueError, RecursionError) as exc:
+            return self._refuse(req, not_run(Code.BAD_REQUEST, repr(exc)))
+        if queue.needs_ticket or any(step.is_gang for step in workflow.steps):
+            detail = "gangs and advised queues are not supported"
+            return self._refuse(req, not_run(Code.NO_CAPACITY, detail), job)
+        stored = await self._desk.submit(workflow, patience_ms)
+        if isinstance(stored, Err):
+            return self._refuse(req, stored.err_value, job)
+        return _json({})
+
+    async def _show(
+        self, req: web.BaseRequest, job: str, patience_ms: Millis
+    ) -> web.Response:
+        shown = await self._desk.status(job, patience_ms)
+        if isinstance(shown, Err):
+            return self._refuse(req, shown.err_value, job)
+        if shown.ok_value is None:
+            return self._refuse(req, not_run(Code.NOT_FOUND, "no such job"), job)
+        return _json({"state": shown.ok_value.value})
+
+    async def _cancel(
+        self, req: web.BaseRequest, job: str, patience_ms: Millis
+    ) -> web.Response:
+        stored = await self._desk.cancel(job, patience_ms)
+        if isinstance(stored, Err):
+            return self._refuse(req, stored.err_value, job)
+        return _json({})
+
+    async def _count(
+        self, req: web.BaseRequest, queue: QueuePolicy, patience_ms: Millis
+    ) -> web.Response:
+        count = await self._desk.pending(queue.name, patience_ms)
+        if isinstance(count, Err):
+            return self._refuse(req, count.err_value)
+        return _json({"pendingJobs": count.ok_value})
+
+    def _refuse(
+        self, req: web.BaseRequest, failure: Failure, job: str = ""
+    ) -> web.Response:
+        status = STATUS_BY_CODE.get(failure.code, 500)
+        is_uncertain = failure.outcome is Outcome.UNKNOWN and req.method == "POST"
+        self._log.emit(
+            Event.JOB_UNCERTAIN if is_uncertain else Event.JOB_REFUSED,
+            job=job,
+            method=req.method,
+            status=status,
+            code=int(failure.code),
+            detail=failure.detail,
+            configuration=self._queues.version,
+        )
+        headers = {"Retry-After": RETRY_AFTER_S} if status in RETRYABLE else None
+        return _json(failure_to_dict(failure), status, headers)
+
+
+def _patience_ms(req: web.BaseRequest) -> Millis:
+    """Return how long the caller waits, from the header of the platform."""
+    try:
+        return max(int(req.headers["Deadline-Ms"]), 0)
+    except (KeyError, ValueError):
+        return DEFAULT_DEADLINE_MS
+
+
+async def _read_body(req: web.BaseRequest, most_bytes: int) -> bytes | None:
+    if (req.content_length or 0) > most_bytes:
+        return None
+    body = await req.content.read(most_bytes + 1)
+    while not req.content.at_eof() and len(body) <= most_bytes:
+        body += await req.content.read(most_bytes + 1)
+    return None if len(body) > most_bytes else body
+
+
+def _json(
+    data: Any, status: int = 200, headers: dict[str, str] | None = None
+) -> web.Response:
+    return web.Response(
+        body=json.dumps(data).encode(),
+        status=status,
+        headers=headers,
+        content_type="application/json",
+    )
+
+
+async def serve_http(handler: Handler, address: tuple[str, int]) -> web.ServerRunner:
+    """Serve a handler at an address until the runner is cleaned up."""
+    server = web.Server(handler, access_log=None, keepalive_timeout=KEEP_ALIVE_S)
+    runner = web.ServerRunner(server, handle_signals=False)
+    await runner.setup()
+    site = web.TCPSite(runner, *address, backlog=512, reuse_address=True)
+    await site.start()
+    return runner
--- /dev/null
+++ b/hyssopweir/room.py
@@ -0,0 +1,35 @@
+"""Capacity that tasks occupy on a worker."""
+
+from typing import NamedTuple
+
+
+class Room(NamedTuple):
+    """Measure capacity; ``cpu`` is in thousandths of a core."""
+
+    cpu: int = 0
+    memory_mb: int = 0
+    accelerators: int = 0
+
+    def plus(self, other: "Room") -> "Room":
+        """Return the sum of both."""
+        return Room(
+            self.cpu + other.cpu,
+            self.memory_mb + other.memory_mb,
+            self.accelerators + other.accelerators,
+        )
+
+    def minus(self, other: "Room") -> "Room":
+        """Return what is left without ``other``."""
+        return Room(
+            self.cpu - other.cpu,
+            self.memory_mb - other.memory_mb,
+            self.accelerators - other.accelerators,
+        )
+
+    def holds(self, other: "Room") -> bool:
+        """Tell whether ``other`` fits."""
+        return (
+            other.cpu <= self.cpu
+            and other.memory_mb <= self.memory_mb
+            and other.accelerators <= self.accelerators
+        )
--- /dev/null
+++ b/hyssopweir/run_orders.py
@@ -0,0 +1,175 @@
+"""Orders to workers, followed until it is certain what became of them."""
+
+import asyncio
+from collections.abc import Coroutine, Sequence
+from typing import Any
+
+from hyssopweir.agent_link import AgentLink
+from hyssopweir.agents import Verdict
+from hyssopweir.cell_state import CellState
+from hyssopweir.clock import Millis
+from hyssopweir.events import Event
+from hyssopweir.workflow_progress import Run, RunEnd, RunPhase, RunRef
+
+STOP_RETRY_MS: Millis = 150
+# A worker that refused a start is left alone until its next report is surely in.
+REFUSAL_PAUSE_MS: Millis = 1_000
+
+
+class RunOrders:
+    """Start, stop and pace runs.
+
+    A start without an answer may be carried out seconds later. Its room stays taken
+    until the worker has confirmed a stop of the same run, after which it refuses the
+    start, and a later report does not list the run.
+    """
+
+    def __init__(self, state: CellState) -> None:
+        self._state = state
+        self._tasks: set[asyncio.Task[None]] = set()
+        self.is_closed = False
+
+    def spawn(self, coro: Coroutine[Any, Any, None]) -> None:
+        """Run a task until it ends or the cell is closed."""
+        task = asyncio.get_running_loop().create_task(coro)
+        self._tasks.add(task)
+        task.add_done_callback(self._finished)
+
+    def _finished(self, task: asyncio.Task[None]) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            self._state.log.emit(
+                Event.BACKGROUND_TASK_FAILED,
+                task="run_orders",
+                error=repr(task.exception()),
+            )
+
+    def close(self) -> None:
+        """Cancel all that is under way."""
+        for task in self._tasks:
+            task.cancel()
+
+    async def drain(self, limit_ms: Millis) -> None:
+        """Place nothing more, and wait for the answers to what was sent."""
+        self.is_closed = True
+        if self._tasks:
+            await asyncio.wait(self._tasks, timeout=limit_ms / 1_000)
+
+    def start_when_stored(self, runs: Sequence[tuple[Run, AgentLink]]) -> None:
+        """Order recorded runs once their record is stored."""
+        stored = self._state.commits.stored()
+        self.spawn(self._start_all(stored, runs))
+
+    async def _start_all(
+        self, stored: asyncio.Future[None], runs: Sequence[tuple[Run, AgentLink]]
+    ) -> None:
+        await stored
+        for run, link in runs:
+            if run.phase is RunPhase.RECORDED:
+                self.spawn(self._start(run, link))
+
+    async def _start(self, run: Run, link: AgentLink) -> None:
+        found = self._state.find(run.ref.task)
+        if found is None or found[0].is_final() or self.is_closed:
+            self.void(run, link, "not wanted any more")
+            return
+        progress, _, task = found
+        verdict = await link.start(run, progress.workflow.payload, task.saved)
+        if verdict is Verdict.ACCEPTED:
+            if run.phase is RunPhase.ORDERED:
+                run.phase = RunPhase.RUNNING
+            if progress.is_final() or task.is_done:
+                self.stop(run, link, "job ended during the start")
+            return
+        if verdict is Verdict.UNKNOWN:
+            self._state.log.emit(
+                Event.TASK_UNCERTAIN, run=_name(run.ref), worker=run.worker
+            )
+            if run.phase is RunPhase.ORDERED:
+                run.phase = RunPhase.UNCERTAIN
+                self.stop(run, link, "start was not answered", RunPhase.UNCERTAIN)
+            return
+        self._refused(run, link, verdict)
+
+    def _refused(self, run: Run, link: AgentLink, verdict: Verdict) -> None:
+        now_ms = self._state.now_ms()
+        if verdict is not Verdict.FENCED:
+            link.load.eject(now_ms, REFUSAL_PAUSE_MS)
+        self._state.log.emit(
+            Event.ORDER_REFUSED,
+            run=_name(run.ref),
+            worker=run.worker,
+            verdict=verdict.value,
+        )
+        self.void(run, link, verdict.value)
+
+    def void(self, run: Run, link: AgentLink, reason: str) -> None:
+        """Note that a run has not started and never will."""
+        link.load.release(run.ref)
+        progress = self._state.jobs.get(run.ref.task.job)
+        if progress is None:
+            return
+        if progress.end(run.ref, RunEnd.VOID, "", self._state.now_ms()) is not None:
+            self._state.log.emit(Event.TASK_QUEUED, run=_name(run.ref), reason=reason)
+            self._state.changed(progress)
+
+    def stop(
+        self,
+        run: Run,
+        link: AgentLink,
+        reason: str,
+        phase: RunPhase = RunPhase.STOPPING,
+    ) -> None:
+        """Stop a run; its room stays taken until a report shows that it is over."""
+        if run.phase is RunPhase.STOPPING:
+            return
+        if run.phase is RunPhase.RECORDED:
+            self.void(run, link, reason)
+            return
+        run.phase = phase
+        self._state.log.emit(
+            Event.TASK_EVICTING, run=_name(run.ref), worker=run.worker, reason=reason
+        )
+        self.spawn(self._stop(run, link))
+
+    async def _stop(self, run: Run, link: AgentLink) -> None:
+        while run.ref in link.load.runs:
+            verdict = await link.stop(run.ref)
+            if verdict in (Verdict.ACCEPTED, Verdict.INVALID):
+                run.is_closed = True
+                run.settled_ms = self._state.now_ms()
+                return
+            if verdict in (Verdict.FENCED, Verdict.OTHER_LIFE):
+                return
+            await self._state.clock.sleep_ms(STOP_RETRY_MS)
+
+    def stop_job(self, job: str, reason: str) -> None:
+        """Stop all runs of a job."""
+        progress = self._state.jobs[job]
+        for run in list(progress.runs()):
+            link = self._state.links.get(run.worker)
+            if link is not None:
+                self.stop(run, link, reason)
+
+    def pace(self, run: Run, link: AgentLink, percent: int, reason: str) -> None:
+        """Let a run work at a share of its speed."""
+        self._state.log.emit(
+            Event.TASK_PACED,
+            run=_name(run.ref),
+            worker=run.worker,
+            percent=percent,
+            reason=reason,
+        )
+        run.pace = percent
+        self.spawn(self._pace(run, link, percent))
+
+    async def _pace(self, run: Run, link: AgentLink, percent: int) -> None:
+        while run.pace == percent and run.ref in link.load.runs:
+            if await link.pace(run, percent):
+                return
+            await self._state.clock.sleep_ms(STOP_RETRY_MS)
+
+
+def _name(ref: RunRef) -> str:
+    task = ref.task
+    return f"{task.job}.{task.occurrence}.{task.step}.{task.number}#{ref.run}"
--- /dev/null
+++ b/hyssopweir/worker_load.py
@@ -0,0 +1,111 @@
+"""What an owner has placed on a worker, and what it knows of the worker's health."""
+
+from hyssopweir.agents import WorkerEntry, WorkerState
+from hyssopweir.clock import Millis
+from hyssopweir.room import Room
+from hyssopweir.workflow_progress import Run, RunRef
+from hyssopweir.workflows import Step
+
+# Failures of runs of that many jobs in a row eject a worker.
+EJECTION_JOBS = 2
+FIRST_EJECTION_MS: Millis = 3_000
+LONGEST_EJECTION_MS: Millis = 12_000
+# A worker that has just failed a run is used only if there is no other.
+SUSPICION_MS: Millis = 2_500
+
+
+class WorkerLoad:
+    """Count the room that is taken on one worker.
+
+    Room stays taken until a run is known to be over, however it was ordered.
+    """
+
+    def __init__(self, entry: WorkerEntry) -> None:
+        self.entry = entry
+        self.runs: dict[RunRef, tuple[Run, Step]] = {}
+        self.taken = Room()
+        self.servers = 0
+        self.fillers = 0
+        self.is_confirmed = False
+        self.is_listed = True
+        self.heard_ms: Millis = 0
+        self._failed_jobs: set[str] = set()
+        self._ejected_until_ms: Millis = 0
+        self._ejections = 0
+        self._failed_ms: Millis | None = None
+        self.slowdown = 1.0
+
+    @property
+    def free(self) -> Room:
+        """Return the room that is left."""
+        return self.entry.room.minus(self.taken)
+
+    def take(self, run: Run, step: Step) -> None:
+        """Charge a run."""
+        if run.ref in self.runs:
+            return
+        self.runs[run.ref] = (run, step)
+        self.taken = self.taken.plus(step.charge)
+        self.servers += step.is_endless
+        self.fillers += step.is_filler
+
+    def release(self, ref: RunRef) -> Run | None:
+        """Give back the room of a run that is over."""
+        held = self.runs.pop(ref, None)
+        if held is None:
+            return None
+        run, step = held
+        self.taken = self.taken.minus(step.charge)
+        self.servers -= step.is_endless
+        self.fillers -= step.is_filler
+        return run
+
+    def takes_work(self, now_ms: Millis, silence_ms: Millis) -> bool:
+        """Tell whether new tasks may be placed here."""
+        return (
+            self.is_confirmed
+            and self.is_listed
+            and self.entry.state is WorkerState.READY
+            and now_ms - self.heard_ms <= silence_ms
+            and now_ms >= self._ejected_until_ms
+        )
+
+    def count(self, run: Run) -> int:
+        """Return how many runs of the same step and occurrence are here."""
+        task = run.ref.task
+        return self.count_step(task.job, task.occurrence, task.step)
+
+    def count_step(self, job: str, occurrence: int, step: int) -> int:
+        """Return how many runs of a step of one occurrence are here."""
+        return sum(
+            ref.task.job == job
+            and ref.task.occurrence == occurrence
+            and ref.task.step == step
+            for ref in self.runs
+        )
+
+    def is_suspect(self, now_ms: Millis) -> bool:
+        """Tell whether the last run that ended here failed lately."""
+        return self._failed_ms is not None and now_ms - self._failed_ms < SUSPICION_MS
+
+    def note_done(self) -> None:
+        """Trust the worker again."""
+        self._failed_jobs.clear()
+        self._failed_ms = None
+        self._ejections = 0
+        self._ejected_until_ms = 0
+
+    def note_failed(self, job: str, now_ms: Millis) -> bool:
+        """Count a failed run; tell whether the worker is ejected by it."""
+        self._failed_jobs.add(job)
+        self._failed_ms = now_ms
+        if len(self._failed_jobs) < EJECTION_JOBS or now_ms < self._ejected_until_ms:
+            return False
+        duration_ms = FIRST_EJECTION_MS * 2**self._ejections
+        self._ejected_until_ms = now_ms + min(duration_ms, LONGEST_EJECTION_MS)
+        self._ejections += 1
+        return True
+
+    def eject(self, now_ms: Millis, duration_ms: Millis) -> None:
+        """Place nothing here for a time."""
+        self._ejected_until_ms = max(self._ejected_until_ms, now_ms + duration_ms)
--- /dev/null
+++ b/hyssopweir/workflow_desk.py
@@ -0,0 +1,178 @@
+"""What an entry instance answers to callers: accepting, showing and cancelling jobs."""
+
+import asyncio
+import json
+
+from result import Err, Ok, Result
+
+from hyssopweir.cell_state import CANCEL_SUFFIX, PROGRESS, QUEUES_KEY, REQUESTS
+from hyssopweir.clock import Clock, Millis
+from hyssopweir.codes import Code, Failure, not_run, unknown
+from hyssopweir.events import Event, EventLog
+from hyssopweir.row_commits import ReplyTimer
+from hyssopweir.row_store import (
+    ABSENT,
+    Change,
+    Committed,
+    Conflict,
+    Expect,
+    RowKey,
+    RowPage,
+    RowStore,
+    Write,
+)
+from hyssopweir.workflow_progress import WorkflowState, state_of
+from hyssopweir.workflows import Workflow, encode_workflow
+
+RETRY_MS: Millis = 40
+# A refusal sends the caller to another instance, which may reach the store.
+REFUSAL_MS: Millis = 150
+# An uncertain write is repeated that long before the caller is told so.
+SETTLE_MS: Millis = 1_500
+READ_MS: Millis = 1_500
+# Time that an answer needs to reach the caller before its deadline.
+ANSWER_MARGIN_MS: Millis = 200
+
+
+class WorkflowDesk:
+    """Answer callers from the store, whoever owns the cell."""
+
+    def __init__(self, cell: str, store: RowStore, clock: Clock, log: EventLog) -> None:
+        self._cell = cell
+        self._store = store
+        self._clock = clock
+        self._log = log
+        self._timer = ReplyTimer()
+        self.is_store_up = True
+
+    async def submit(
+        self, workflow: Workflow, patience_ms: Millis
+    ) -> Result[None, Failure]:
+        """Store a job; a repeated submission of the same job is accepted again.
+
+        ``STORE_UNAVAILABLE`` and ``CANCELLED`` mean that the job never runs,
+        ``STORE_OUTCOME_UNKNOWN`` that it may.
+        """
+        request = self._request_key(workflow.job)
+        cancel = self._request_key(workflow.job + CANCEL_SUFFIX)
+        changes = (
+            Write(request, encode_workflow(workflow), ABSENT),
+            Expect(cancel, ABSENT),
+        )
+        stored = await self._store_once(changes, patience_ms)
+        if isinstance(stored, Err):
+            return stored
+        outcome = stored.ok_value
+        if isinstance(outcome, Committed) or request in outcome.rows:
+            self._log.emit(Event.JOB_ACCEPTED, job=workflow.job, queue=workflow.queue)
+            return Ok(None)
+        return Err(not_run(Code.CANCELLED, "the job was cancelled before it came"))
+
+    async def cancel(self, job: str, patience_ms: Millis) -> Result[None, Failure]:
+        """Store a cancellation; a submission that comes later is refused."""
+        key = self._request_key(job + CANCEL_SUFFIX)
+        stored = await self._store_once([Write(key, b"{}", ABSENT)], patience_ms)
+        if isinstance(stored, Err):
+            return stored
+        self._log.emit(Event.JOB_CANCEL_REQUESTED, job=job)
+        return Ok(None)
+
+    async def _store_once(
+        self, changes: tuple[Change, ...] | list[Change], patience_ms: Millis
+    ) -> Result[Committed | Conflict, Failure]:
+        """Apply changes, repeating them after a lost reply; they apply at most once."""
+        started_ms = self._clock.now_ms()
+        is_uncertain = False
+        patience_ms -= ANSWER_MARGIN_MS
+        while True:
+            sent_ms = self._clock.now_ms()
+            reply = await self._store.transact(changes, self._timer.timeout_ms())
+            now_ms = self._clock.now_ms()
+            if isinstance(reply, Ok):
+                self._timer.note(now_ms - sent_ms)
+                self._note_store(True)
+                return reply
+            if reply.err_value.code is Code.STORE_OUTCOME_UNKNOWN:
+                is_uncertain = True
+                self._timer.note_timeout()
+            elif reply.err_value.code is not Code.STORE_UNAVAILABLE:
+                return reply
+            limit_ms = min(SETTLE_MS if is_uncertain else REFUSAL_MS, patience_ms)
+            if now_ms - started_ms >= limit_ms:
+                self._note_store(False)
+                return self._give_up(is_uncertain, reply.err_value)
+            await self._clock.sleep_ms(RETRY_MS)
+
+    def _give_up(
+        self, is_uncertain: bool, cause: Failure
+    ) -> Result[Committed | Conflict, Failure]:
+        if is_uncertain:
+            return Err(unknown(Code.STORE_OUTCOME_UNKNOWN, cause.detail))
+        return Err(not_run(Code.STORE_UNAVAILABLE, cause.detail))
+
+    async def status(
+        self, job: str, patience_ms: Millis
+    ) -> Result[WorkflowState | None, Failure]:
+        """Return the state of a job, None if no such job was accepted."""
+        limit_ms = self._clock.now_ms() + min(patience_ms, READ_MS)
+        while True:
+            # Progress is read first: a job that is missing from the later read of the
+            # requests has not been accepted.
+            progress, requests = await asyncio.gather(
+                self._read(PROGRESS, job, job + "\0"),
+                self._read(REQUESTS, job, job + CANCEL_SUFFIX + "\0"),
+            )
+            if isinstance(progress, Ok) and isinstance(requests, Ok):
+                return Ok(self._state(job, progress.ok_value, requests.ok_value))
+            if self._clock.now_ms() >= limit_ms:
+                self._note_store(False)
+                return Err(unknown(Code.STORE_UNAVAILABLE, "the job can't be read"))
+            await self._clock.sleep_ms(RETRY_MS)
+
+    def _state(
+        self, job: str, progress: RowPage, requests: RowPage
+    ) -> WorkflowState | None:
+        keys = {row.at.key for row in requests.rows}
+        if job not in keys:
+            return None
+        state = WorkflowState.PENDING
+        for row in progress.rows:
+            if row.at.key == job:
+                state = state_of(row.value)
+        is_open = state in (WorkflowState.PENDING, WorkflowState.ACTIVE)
+        if is_open and job + CANCEL_SUFFIX in keys:
+            return WorkflowState.CANCELLED
+        return state
+
+    async def pending(self, queue: str, patience_ms: Millis) -> Result[int, Failure]:
+        """Return how many jobs of a queue have not begun."""
+        limit_ms = self._clock.now_ms() + min(patience_ms, READ_MS)
+        while True:
+            reply = await self._read(PROGRESS, QUEUES_KEY, QUEUES_KEY + "\0")
+            if isinstance(reply, Ok):
+                rows = reply.ok_value.rows
+                counts = json.loads(rows[0].value) if rows else {}
+                return Ok(int(counts.get(queue, 0)))
+            if self._clock.now_ms() >= limit_ms:
+                return Err(unknown(Code.STORE_UNAVAILABLE, "the count can't be read"))
+            await self._clock.sleep_ms(RETRY_MS)
+
+    async def _read(self, table: str, start: str, end: str) -> Result[RowPage, Failure]:
+        sent_ms = self._clock.now_ms()
+        reply = await self._store.read_rows(
+            table, self._cell, start, end, self._timer.timeout_ms()
+        )
+        if isinstance(reply, Ok):
+            self._timer.note(self._clock.now_ms() - sent_ms)
+            self._note_store(True)
+        elif reply.err_value.code is Code.STORE_OUTCOME_UNKNOWN:
+            self._timer.note_timeout()
+        return reply
+
+    def _request_key(self, key: str) -> RowKey:
+        return RowKey(REQUESTS, self._cell, key)
+
+    def _note_store(self, is_up: bool) -> None:
+        if is_up != self.is_store_up:
+            self.is_store_up = is_up
+            self._log.emit(Event.STORE_UP if is_up else Event.STORE_DOWN)
