--- a/hyssopweir/platform/settings.py
+++ b/hyssopweir/platform/settings.py
@@ -1,4 +1,4 @@
-"""Settings file of an instance on the platform, laid out by ``deploy/settings.json``."""
+"""Settings file of an instance on the platform, see ``deploy/settings.json``."""
 
 import os
 from pathlib import Path
