--- a/hyssopweir/cell_scheduler.py
+++ b/hyssopweir/cell_scheduler.py
@@ -12,7 +12,7 @@
 from hyssopweir.step_placement import choose_worker
 from hyssopweir.worker_load import WorkerLoad
 from hyssopweir.workflow_progress import Run, TaskRef, WorkflowProgress
-from hyssopweir.workflows import Step
+from hyssopweir.workflows import Step, remaining_ms
 
 # Bounds the time of one pass when far more waits than fits.
 MOST_REFUSED = 24
@@ -56,7 +56,8 @@
 
     def _by_urgency(self) -> list[WorkflowProgress]:
         jobs = [self._state.jobs[job] for job in self._state.unplaced]
-        return sorted(jobs, key=_urgency)
+        wall_ms = self._state.clock.wall_ms()
+        return sorted(jobs, key=lambda progress: urgency(progress, wall_ms))
 
     def _loads(self, now_ms: Millis) -> dict[str, list[WorkerLoad]]:
         loads: dict[str, list[WorkerLoad]] = {}
@@ -81,7 +82,9 @@
             if demand in full:
                 left = True
                 continue
-            load = choose_worker(ref, step, task, loads.get(service, ()), now_ms)
+            load = choose_worker(
+                ref, step, task, loads.get(service, ()), self._state.harm, now_ms
+            )
             if load is None:
                 left = True
                 if not step.most_per_worker:
@@ -115,6 +118,26 @@
         return run, link
 
 
-def _urgency(progress: WorkflowProgress) -> tuple[int, Millis]:
+def urgency(progress: WorkflowProgress, wall_ms: Millis) -> tuple[int, int, Millis]:
+    """Return the sort key of a job; the least comes first.
+
+    Under overload, jobs that can still be done in time go before those that can't.
+    """
     workflow = progress.workflow
-    return workflow.priority, workflow.accepted_ms + workflow.objective_ms()
+    objective_ms = workflow.objective_ms()
+    deadline_ms = workflow.accepted_ms + objective_ms
+    lateness = 0
+    if not any(step.is_endless for step in workflow.steps):
+        left_ms = workflow_left_ms(progress)
+        lateness += wall_ms + left_ms > deadline_ms
+        lateness += wall_ms + left_ms > deadline_ms + 2 * objective_ms
+    return workflow.priority, lateness, deadline_ms
+
+
+def workflow_left_ms(progress: WorkflowProgress) -> Millis:
+    """Return the estimated time that the steps that are not done still take."""
+    left = remaining_ms(progress.workflow.steps)
+    return max(
+        (left[number] for _, number in progress.open_steps()),
+        default=0,
+    )
--- a/hyssopweir/cell_upkeep.py
+++ b/hyssopweir/cell_upkeep.py
@@ -16,6 +16,7 @@
 
 TICK_MS: Millis = 100
 QUEUES_INTERVAL_MS: Millis = 500
+LOAD_INTERVAL_MS: Millis = 1_000
 # Rows are deleted some time after the state of an ended job need not be shown.
 EXTRA_KEEP_MS: Millis = 30_000
 MOST_DELETED = 20
@@ -39,6 +40,7 @@
         self._pacing: dict[str, FillerPacing] = {}
         self._beat_ms: Millis = 0
         self._queues_ms: Millis = 0
+        self._load_ms: Millis = 0
         self._queues: dict[str, int] | None = None
 
     async def run(self) -> None:
@@ -55,6 +57,9 @@
             self._queues_ms = now_ms
             self._publish_queues()
             self._delete_old(now_ms)
+        if now_ms - self._load_ms >= LOAD_INTERVAL_MS:
+            self._load_ms = now_ms
+            self._log_load()
         self._open_due()
         for link in list(self._state.links.values()):
             self._pace_fillers(link, now_ms)
@@ -64,6 +69,28 @@
         if self._state.unplaced:
             self._state.wake.set()
 
+    def _log_load(self) -> None:
+        loads = [link.load for link in self._state.links.values()]
+        serving = [load for load in loads if load.servers]
+        waiting = [
+            step
+            for job in self._state.unplaced
+            for _, step, _ in self._state.jobs[job].waiting()
+        ]
+        self._state.log.emit(
+            Event.CELL_LOAD,
+            cell=self._state.cell,
+            workers=len(loads),
+            cores=sum(load.entry.room.cpu for load in loads) // 1_000,
+            taken=sum(load.taken.cpu for load in loads) // 1_000,
+            serving_workers=len(serving),
+            fillers=sum(load.fillers for load in loads),
+            fillers_beside=sum(load.fillers for load in serving),
+            high_tails=sum(load.worst_tail() >= 1.0 for load in serving),
+            waiting=len(waiting),
+            waiting_fillers=sum(step.is_filler for step in waiting),
+        )
+
     def _publish_queues(self) -> None:
         queues = self._state.pending_by_queue()
         if queues != self._queues:
@@ -100,9 +127,15 @@
     def _pace_fillers(self, link: AgentLink, now_ms: Millis) -> None:
         if not link.load.fillers:
             return
-        pacing = self._pacing.setdefault(link.entry.worker_id, FillerPacing())
+        pacing = self._pacing.get(link.entry.worker_id)
+        if pacing is None:
+            pacing = FillerPacing(self._state.harm)
+            self._pacing[link.entry.worker_id] = pacing
         for run, percent in pacing.decide(link.load, now_ms):
-            self._orders.pace(run, link, percent, "tail of a task beside it")
+            if percent is None:
+                self._orders.stop(run, link, "tail of a task beside it")
+            else:
+                self._orders.pace(run, link, percent, "tail of a task beside it")
 
     def _leave(self, link: AgentLink, now_ms: Millis) -> None:
         """Stop what would not end before the worker leaves."""
--- a/hyssopweir/run_orders.py
+++ b/hyssopweir/run_orders.py
@@ -161,6 +161,7 @@
             reason=reason,
         )
         run.pace = percent
+        run.changed_ms = self._state.now_ms()
         self.spawn(self._pace(run, link, percent))
 
     async def _pace(self, run: Run, link: AgentLink, percent: int) -> None:
--- a/hyssopweir/run_reports.py
+++ b/hyssopweir/run_reports.py
@@ -30,6 +30,7 @@
         listed = {run.ref for run in holding.running}
         for report in holding.running:
             self._take_listed(link, report, holding.born_ms)
+        self._state.harm.note(link.load, self._state.now_ms())
         for end in holding.ended:
             self._take_end(link, end)
         ended = {end.ref for end in holding.ended}
--- a/hyssopweir/step_placement.py
+++ b/hyssopweir/step_placement.py
@@ -1,12 +1,14 @@
 """Choice of the worker for a task of a step.
 
-Answers the load of many wide steps beside tasks with a tail target: short tasks spread
-by use of processors, fillers stay away from tasks with a target.
+Answers the load of many wide steps beside tasks with a tail target. Those fill few
+workers, so that fillers find others free; a filler joins them only if its image is
+known to be harmless enough, or to find that out. Short tasks spread.
 """
 
 from collections.abc import Iterable
 
 from hyssopweir.clock import Millis
+from hyssopweir.filler_harm import FillerHarm
 from hyssopweir.worker_load import WorkerLoad
 from hyssopweir.workflow_progress import Task, TaskRef
 from hyssopweir.workflows import Step
@@ -15,9 +17,20 @@
 SUSPECT_PENALTY = 4.0
 FAILED_HERE_PENALTY = 8.0
 FAR_PENALTY = 2.0
-# One task with a tail target beside a filler, in either order of arrival.
-COLOCATION_PENALTY = 1.5
 SLOW_PENALTY = 1.5
+# A short task on a worker that is kept free for fillers.
+FREE_PENALTY = 0.3
+# A task with a target beside others of another image.
+MIXED_PENALTY = 1.5
+# A high tail on a worker, for one more task with a target.
+HIGH_TAIL = 0.8
+HIGH_TAIL_PENALTY = 2.0
+# Of its processors, a task with a target uses that share, and leaves the rest.
+SERVING_USE = 0.6
+# Fillers get at least that share of their processors, else they wait.
+LEAST_FILLER_SHARE = 0.45
+# Harm to tails that is likely, but not certain.
+RISK_PENALTY = 0.3
 
 
 def choose_worker(
@@ -25,12 +38,13 @@
     step: Step,
     task: Task,
     workers: Iterable[WorkerLoad],
+    harm: FillerHarm,
     now_ms: Millis,
 ) -> WorkerLoad | None:
-    """Return the worker that suits a task best, None if it fits nowhere."""
+    """Return the worker that suits a task best, None if it should wait."""
     best, best_cost = None, float("inf")
     for load in workers:
-        if not fits(ref, step, load):
+        if not fits(ref, step, load, harm):
             continue
         cost = cost_of(step, task, load, now_ms)
         if cost < best_cost:
@@ -38,37 +52,55 @@
     return best
 
 
-def fits(ref: TaskRef, step: Step, load: WorkerLoad) -> bool:
+def fits(ref: TaskRef, step: Step, load: WorkerLoad, harm: FillerHarm) -> bool:
     """Tell whether a worker may run a task of the step and has room for it."""
     if not load.free.holds(step.charge):
         return False
     if step.label and step.label not in load.entry.labels:
         return False
+    if step.is_filler and not _suits_filler(step, load, harm):
+        return False
     if not step.most_per_worker:
         return True
     here = load.count_step(ref.job, ref.occurrence, ref.step)
     return here < step.most_per_worker
 
 
+def _suits_filler(step: Step, load: WorkerLoad, harm: FillerHarm) -> bool:
+    wanted = load.filler_cpu() + step.room.cpu
+    if leftover_cpu(load) < LEAST_FILLER_SHARE * wanted:
+        return False
+    return harm.may_place(step, load)
+
+
+def leftover_cpu(load: WorkerLoad) -> float:
+    """Return the processors that counted tasks leave unused, in thousandths."""
+    serving = load.serving_cpu()
+    used = SERVING_USE * serving + (load.taken.cpu - serving)
+    return load.entry.room.cpu - used
+
+
 def cost_of(step: Step, task: Task, load: WorkerLoad, now_ms: Millis) -> float:
     """Return how badly a worker suits a task; lower is better."""
-    total = max(load.entry.room.cpu, 1)
-    cost = (load.taken.cpu + step.room.cpu) / total
+    cost = _load_cost(step, load)
     if load.is_suspect(now_ms):
         cost += SUSPECT_PENALTY
     if load.entry.worker_id in task.failed_on:
         cost += FAILED_HERE_PENALTY
     if step.home_rack and step.home_rack not in load.entry.labels:
         cost += FAR_PENALTY
-    cost += SLOW_PENALTY * (load.slowdown - 1.0)
-    if step.is_filler:
-        cost += COLOCATION_PENALTY * load.servers + filler_share(load, total)
-    elif step.is_endless:
-        cost += COLOCATION_PENALTY * load.fillers
-    return cost
+    return cost + SLOW_PENALTY * (load.slowdown - 1.0)
 
 
-def filler_share(load: WorkerLoad, total_cpu: int) -> float:
-    """Return the processors that fillers ask for here, as a share of the worker."""
-    wanted = sum(step.room.cpu for _, step in load.runs.values() if step.is_filler)
-    return wanted / total_cpu
+def _load_cost(step: Step, load: WorkerLoad) -> float:
+    total = max(load.entry.room.cpu, 1)
+    if step.is_filler:
+        wanted = load.filler_cpu() + step.room.cpu
+        return wanted / max(leftover_cpu(load), 1.0) + RISK_PENALTY * (load.servers > 0)
+    if step.is_endless:
+        # Tasks of one image together: fillers that harm no other image may join them.
+        cost = (load.free.cpu - step.room.cpu) / total
+        cost += MIXED_PENALTY * bool(load.serving_images() - {step.image})
+        return cost + HIGH_TAIL_PENALTY * (load.worst_tail() >= HIGH_TAIL)
+    used = (load.taken.cpu + load.filler_cpu() + step.room.cpu) / total
+    return used + FREE_PENALTY * (not load.servers)
--- a/hyssopweir/worker_load.py
+++ b/hyssopweir/worker_load.py
@@ -70,10 +70,35 @@
             and now_ms >= self._ejected_until_ms
         )
 
-    def count(self, run: Run) -> int:
-        """Return how many runs of the same step and occurrence are here."""
-        task = run.ref.task
-        return self.count_step(task.job, task.occurrence, task.step)
+    def serving_cpu(self) -> int:
+        """Return the processors of tasks that last, in thousandths of a core."""
+        return sum(s.room.cpu for _, s in self.runs.values() if s.is_endless)
+
+    def filler_cpu(self) -> int:
+        """Return the processors that fillers ask for, in thousandths of a core."""
+        return sum(s.room.cpu for _, s in self.runs.values() if s.is_filler)
+
+    def serving_images(self) -> set[str]:
+        """Return the images of the tasks with a tail target."""
+        return {s.image for _, s in self.runs.values() if s.tail_target_ms}
+
+    def tails(self) -> dict[str, tuple[float, Millis]]:
+        """Return the highest tail of each image, by its target, and the target in ms.
+
+        The tail of a task that is not at work yet counts as none.
+        """
+        tails: dict[str, tuple[float, Millis]] = {}
+        for run, step in self.runs.values():
+            if not step.tail_target_ms:
+                continue
+            tail = run.figure / step.tail_target_ms if run.percent >= 100 else 0.0
+            known = tails.get(step.image, (0.0, 0))[0]
+            tails[step.image] = (max(tail, known), step.tail_target_ms)
+        return tails
+
+    def worst_tail(self) -> float:
+        """Return the highest tail of tasks at work here, as a share of its target."""
+        return max((tail for tail, _ in self.tails().values()), default=0.0)
 
     def count_step(self, job: str, occurrence: int, step: int) -> int:
         """Return how many runs of a step of one occurrence are here."""
--- a/hyssopweir/workflow_progress.py
+++ b/hyssopweir/workflow_progress.py
@@ -78,6 +78,7 @@
         "pace",
         "since_ms",
         "moved_ms",
+        "changed_ms",
         "settled_ms",
         "is_closed",
     )
@@ -92,7 +93,9 @@
         self.figure = 0.0
         self.pace = 100
         self.since_ms = now_ms
-        # When the percentage last rose, and when the order was last answered.
+        # When its speed was last set, when the percentage last rose, and when the
+        # order was last answered.
+        self.changed_ms = now_ms
         self.moved_ms = now_ms
         self.settled_ms = now_ms
         # No order that starts the run can be carried out any more.
@@ -190,15 +193,21 @@
         """Yield the tasks that have no run and may start now."""
         if self.is_final():
             return
-        for occurrence in sorted(self._open):
-            for number, step in enumerate(self.workflow.steps):
-                key = (occurrence, number)
-                if not self._left[key] or not self.is_open_step(key):
-                    continue
-                for index, task in enumerate(self.tasks[key]):
-                    if not task.is_done and not task.runs:
-                        ref = TaskRef(self.workflow.job, occurrence, number, index)
-                        yield ref, step, task
+        for key in self.open_steps():
+            for index, task in enumerate(self.tasks[key]):
+                if not task.is_done and not task.runs:
+                    ref = TaskRef(self.workflow.job, *key, index)
+                    yield ref, self.workflow.steps[key[1]], task
+
+    def open_steps(self) -> list[StepKey]:
+        """Return the steps that are not done and whose earlier steps are."""
+        return [
+            (occurrence, number)
+            for occurrence in sorted(self._open)
+            for number in range(len(self.workflow.steps))
+            if self._left[occurrence, number]
+            and self.is_open_step((occurrence, number))
+        ]
 
     def runs(self) -> Iterator[Run]:
         """Yield all runs that are not over."""
