--- a/hyssopweir/cell.py
+++ b/hyssopweir/cell.py
@@ -253,6 +253,7 @@
             return
         worker_id = link.entry.worker_id
         self._log.emit(Event.WORKER_GONE, worker=worker_id)
+        self.state.harm.forget(link.load)
         self._holds.pop(worker_id).cancel()
         del self.state.links[worker_id]
         self._unlisted_ms.pop(worker_id, None)
--- a/hyssopweir/cell_scheduler.py
+++ b/hyssopweir/cell_scheduler.py
@@ -12,18 +12,33 @@
 from hyssopweir.step_placement import choose_worker
 from hyssopweir.worker_load import WorkerLoad
 from hyssopweir.workflow_progress import Run, TaskRef, WorkflowProgress
-from hyssopweir.workflows import Step, remaining_ms
+from hyssopweir.workflows import Step
 
 # Bounds the time of one pass when far more waits than fits.
 MOST_REFUSED = 24
 
 
+# Bounds the processor time of passes while tasks wait that do not fit.
+PASS_PAUSE_MS: Millis = 20
+
+
 class Demand(NamedTuple):
-    """Name what a task needs, so that others with the same need are skipped."""
+    """Name what a task needs, so that others with the same need are skipped.
+
+    Whether a filler fits depends on its image more than on its size.
+    """
 
     service: str
     charge: Room
     label: str
+    image: str
+
+
+def demand_of(service: str, step: Step) -> Demand:
+    """Return the need of the tasks of a step."""
+    if step.is_filler:
+        return Demand(service, Room(), step.label, step.image)
+    return Demand(service, step.charge, step.label, "")
 
 
 class CellScheduler:
@@ -40,6 +55,8 @@
             self._state.wake.clear()
             if not self._orders.is_closed:
                 self.place()
+            if self._state.unplaced:
+                await self._state.clock.sleep_ms(PASS_PAUSE_MS)
 
     def place(self) -> None:
         """Place what fits now."""
@@ -78,7 +95,7 @@
         left = False
         placed = False
         for ref, step, task in list(progress.waiting()):
-            demand = Demand(service, step.charge, step.label)
+            demand = demand_of(service, step)
             if demand in full:
                 left = True
                 continue
@@ -136,8 +153,5 @@
 
 def workflow_left_ms(progress: WorkflowProgress) -> Millis:
     """Return the estimated time that the steps that are not done still take."""
-    left = remaining_ms(progress.workflow.steps)
-    return max(
-        (left[number] for _, number in progress.open_steps()),
-        default=0,
-    )
+    left = progress.remaining_ms
+    return max((left[number] for _, number in progress.open_steps()), default=0)
--- a/hyssopweir/filler_harm.py
+++ b/hyssopweir/filler_harm.py
@@ -1,108 +1,163 @@
 """What fillers do to the tails of tasks beside them, learned from the reports.
 
-How much a filler disturbs a task with a target depends on the images of both, so that
-``Interference`` learns one figure for each pair.
+A task that serves answers like a queue: its tail is a fixed time divided by the share
+of its capacity that is left. A filler takes from that share in proportion to the
+processors that it uses; how much depends on the images of both. The load of the task
+itself swings, so the figure of a pair is learned from the change of the tail when
+fillers come, go or change pace, not from the tail itself.
 """
 
-from collections.abc import Mapping
+from collections.abc import Iterator, Mapping
+from typing import NamedTuple
 
 from hyssopweir.clock import Millis
-from hyssopweir.interference import Interference, Prediction
 from hyssopweir.worker_load import WorkerLoad
 from hyssopweir.workflow_progress import Run, RunPhase
 from hyssopweir.workflows import Step
 
-# Amounts of an image are in that many cores, about one filler.
-UNIT_CPU = 2_000.0
 # A tail covers the half second before the report.
-SETTLE_MS: Millis = 700
-BASELINE_STEP = 0.05
-# Up to that share of its target, a tail may be brought by a placement.
-SAFE_TAIL = 0.7
-# Placed beside a target, an image without observations must find that much room.
-TRIAL_TAIL = 0.5
-ENOUGH_OBSERVATIONS = 3
+SETTLE_MS: Millis = 650
+# Changes of a tail over a longer time are mostly changes of the load.
+LONGEST_COMPARISON_MS: Millis = 3_000
+# A filler that uses a whole worker takes that much of the capacity of a task, before
+# the pair of images was observed.
+UNKNOWN_HARM = 0.6
+MOST_HARM = 3.0
+LEARNING_STEP = 0.35
+LEAST_CHANGE = 0.02
+# The tail of an idle task, by target, before a shorter one was reported.
+FIRST_BASE = 0.25
+# The least tail that was reported belongs to a task that is not quite idle.
+BASE_OF_LEAST = 0.8
+# Use that a tail near its target stands for, and what changes of load may add.
+HIGH_TAIL = 0.8
+LOAD_MARGIN = 0.08
+
+Mix = Mapping[str, float]
+
+
+class Reading(NamedTuple):
+    """Hold the use of a task's capacity beside a mix of fillers."""
+
+    at_ms: Millis
+    use: float
+    mix: Mix
 
 
 class FillerHarm:
-    """Learn harm by pairs of images and predict tails as shares of their targets."""
+    """Learn harm by pairs of images, and predict the use of tasks beside fillers."""
 
     def __init__(self) -> None:
-        self._model = Interference()
-        self._alone: dict[str, float] = {}
+        self._harm: dict[tuple[str, str], float] = {}
+        self._least: dict[str, float] = {}
+        self._readings: dict[object, Reading] = {}
 
     def note(self, load: WorkerLoad, now_ms: Millis) -> None:
         """Learn from the newest report of a worker, unless it has just changed."""
         fillers = [run for run, step in load.runs.values() if step.is_filler]
         if any(now_ms - run.changed_ms < SETTLE_MS for run in fillers):
             return
-        beside = amounts(load)
-        for run, step in load.runs.values():
-            if not step.tail_target_ms or run.percent < 100 or run.figure <= 0:
+        if now_ms - load.filler_gone_ms < SETTLE_MS:
+            return
+        mix = mix_of(load)
+        for run, step in serving(load):
+            if run.figure <= 0:
                 continue
-            alone = self._alone.get(step.image)
-            if not fillers:
-                alone = run.figure if alone is None else alone
-                alone += BASELINE_STEP * (run.figure - alone)
-                self._alone[step.image] = alone
-            if alone is not None:
-                slowdown = run.figure / max(alone, 1.0)
-                self._model.observe(step.image, beside, 0.0, slowdown)
-
-    def of_pair(self, image: str, victim: str) -> Prediction:
-        """Return how many times as long tails get beside ``UNIT_CPU`` of an image."""
-        return self._model.predict(victim, {image: 1.0}, 0.0)
-
-    def worst_pair(self, image: str, load: WorkerLoad) -> float:
-        """Return the largest slowdown by an image on a worker; unknown is infinite."""
-        pairs = [self.of_pair(image, victim) for victim in load.serving_images()]
-        if any(pair.observations < ENOUGH_OBSERVATIONS for pair in pairs):
-            return float("inf")
-        return max((pair.slowdown for pair in pairs), default=1.0)
-
-    def may_place(self, step: Step, load: WorkerLoad) -> bool:
-        """Tell whether a filler may join the tasks with a target on a worker."""
-        if not load.servers:
-            return True
-        if self.worst_pair(step.image, load) == float("inf"):
-            # An image is tried where it is alone, so that it is observed itself.
-            return not load.fillers and 0.0 < load.worst_tail() <= TRIAL_TAIL
-        return self.tail_with(step, load) <= SAFE_TAIL
-
-    def tail_with(self, step: Step, load: WorkerLoad) -> float:
-        """Predict the highest tail, as a share of its target, with one more filler."""
-        added = {step.image: step.room.cpu / UNIT_CPU}
-        # Fillers that have just been placed do not show in the reported tails yet.
-        placed = asked(load)
-        tails = load.tails()
+            least = self._least.get(step.image, run.figure)
+            self._least[step.image] = min(least, run.figure)
+            reading = Reading(now_ms, self.use_of(run, step), mix)
+            before = self._readings.get(run.ref)
+            self._readings[run.ref] = reading
+            if before is not None:
+                self._learn(step.image, before, reading)
+
+    def forget(self, load: WorkerLoad) -> None:
+        """Drop the readings of a worker that is gone."""
+        for ref in load.runs:
+            self._readings.pop(ref, None)
+
+    def _learn(self, victim: str, before: Reading, after: Reading) -> None:
+        if after.at_ms - before.at_ms > LONGEST_COMPARISON_MS:
+            return
+        changes = {
+            image: after.mix.get(image, 0.0) - before.mix.get(image, 0.0)
+            for image in {*before.mix, *after.mix}
+        }
+        norm = sum(change * change for change in changes.values())
+        if norm < LEAST_CHANGE * LEAST_CHANGE:
+            return
+        expected = sum(self.of(image, victim) * x for image, x in changes.items())
+        error = (after.use - before.use) - expected
+        for image, change in changes.items():
+            harm = self.of(image, victim) + LEARNING_STEP * error * change / norm
+            self._harm[image, victim] = min(max(harm, 0.0), MOST_HARM)
+
+    def of(self, image: str, victim: str) -> float:
+        """Return the use that a whole worker of an image adds to a victim."""
+        return self._harm.get((image, victim), UNKNOWN_HARM)
+
+    def use_of(self, run: Run, step: Step) -> float:
+        """Return the use of a task's capacity that its tail stands for, 0 to 1."""
+        return 1.0 - min(self._base_ms(step) / max(run.figure, 1.0), 1.0)
+
+    def limit_of(self, step: Step) -> float:
+        """Return the use at which the tail comes near its target."""
+        return 1.0 - min(self._base_ms(step) / (HIGH_TAIL * step.tail_target_ms), 1.0)
+
+    def _base_ms(self, step: Step) -> float:
+        least = self._least.get(step.image)
+        if least is None:
+            return FIRST_BASE * step.tail_target_ms
+        return BASE_OF_LEAST * least
+
+    def headroom(self, load: WorkerLoad, now_ms: Millis) -> dict[str, float]:
+        """Return the use that fillers may still add to the tasks of each image.
+
+        Fillers that do not show in the reported tails yet are accounted for.
+        """
+        rooms: dict[str, float] = {}
+        for run, step in serving(load):
+            use = self.use_of(run, step) + self._unseen(load, step.image, now_ms)
+            room = self.limit_of(step) - LOAD_MARGIN - use
+            rooms[step.image] = min(room, rooms.get(step.image, room))
+        return rooms
+
+    def _unseen(self, load: WorkerLoad, victim: str, now_ms: Millis) -> float:
+        return sum(
+            self.of(step.image, victim) * step.room.cpu * run.pace / 100
+            for run, step in load.runs.values()
+            if step.is_filler and now_ms - run.changed_ms < SETTLE_MS
+        ) / max(load.entry.room.cpu, 1)
+
+    def added(self, step: Step, victim: str, load: WorkerLoad) -> float:
+        """Return the use that a filler at full speed adds to tasks of an image."""
+        share = step.room.cpu / max(load.entry.room.cpu, 1)
+        return self.of(step.image, victim) * share
+
+    def strain(self, step: Step, load: WorkerLoad, now_ms: Millis) -> float:
+        """Return the use that a filler adds, by what may be added; above 1 is harm."""
         worst = 0.0
-        for victim, (tail, target_ms) in tails.items():
-            usual = self._alone.get(victim, 0.0) / target_ms
-            usual *= self._model.predict(victim, placed, 0.0).slowdown
-            slowdown = self._model.predict(victim, added, 0.0).slowdown
-            worst = max(worst, max(tail, usual) * slowdown)
+        for victim, room in self.headroom(load, now_ms).items():
+            added = self.added(step, victim, load)
+            if added > room:
+                return float("inf")
+            worst = max(worst, added / room if room > 0 else 0.0)
         return worst
 
 
-def amounts(load: WorkerLoad) -> Mapping[str, float]:
-    """Return the cores in use of each image of fillers, in units of ``UNIT_CPU``."""
-    result: dict[str, float] = {}
+def serving(load: WorkerLoad) -> Iterator[tuple[Run, Step]]:
+    """Yield the tasks with a target that are at work on a worker."""
     for run, step in load.runs.values():
-        if step.is_filler and run.phase is RunPhase.RUNNING:
-            used = _used_cpu(run, step)
-            result[step.image] = result.get(step.image, 0.0) + used / UNIT_CPU
-    return {image: amount for image, amount in result.items() if amount > 0.0}
+        if step.tail_target_ms and run.percent >= 100:
+            yield run, step
 
 
-def asked(load: WorkerLoad) -> Mapping[str, float]:
-    """Return the cores that each image of fillers asks for, in units."""
-    result: dict[str, float] = {}
+def mix_of(load: WorkerLoad) -> Mix:
+    """Return the share of a worker that the fillers of each image use."""
+    mix: dict[str, float] = {}
     for run, step in load.runs.values():
-        if step.is_filler:
-            wanted = step.room.cpu * run.pace / 100 / UNIT_CPU
-            result[step.image] = result.get(step.image, 0.0) + wanted
-    return result
-
-
-def _used_cpu(run: Run, step: Step) -> float:
-    return run.figure if run.figure else step.room.cpu * run.pace / 100
+        if step.is_filler and run.phase is RunPhase.RUNNING:
+            used = run.figure if run.figure else step.room.cpu * run.pace / 100
+            share = used / max(load.entry.room.cpu, 1)
+            mix[step.image] = mix.get(step.image, 0.0) + share
+    return mix
--- a/hyssopweir/filler_pacing.py
+++ b/hyssopweir/filler_pacing.py
@@ -1,31 +1,25 @@
 """What is done about fillers on a worker whose tails come near their target.
 
-Answers the load of fillers whose harm differs by image and changes within seconds: the
-tail that the worker reports decides. The harmful fillers are paced first, and moved if
-that lasts and their work is kept or has just begun.
+Answers the load of fillers whose harm differs by pairs of images, beside tasks whose
+own load swings: the fillers that harm the strained task most are stopped first, until
+its tail should be good again, and go on when there is room. One that is held up for
+long is moved, if its work is kept or has just begun.
 """
 
 from typing import NamedTuple
 
 from hyssopweir.clock import Millis
-from hyssopweir.filler_harm import FillerHarm
+from hyssopweir.filler_harm import FillerHarm, serving
 from hyssopweir.worker_load import WorkerLoad
 from hyssopweir.workflow_progress import Run, RunPhase
 from hyssopweir.workflows import Step
 
-# Shares of the tail target.
-HIGH_TAIL = 0.85
-LOW_TAIL = 0.6
-STEP_UP = 25
 # The tail that is reported covers half a second; an earlier change is not visible yet.
-SETTLE_MS: Millis = 700
-CALM_MS: Millis = 1_000
-# A filler that was stopped for that long is moved.
-HELD_MS: Millis = 1_500
+SETTLE_MS: Millis = 650
 # Work of a filler without checkpoints that may be thrown away.
 SHORT_RUN_MS: Millis = 1_500
-# Slows a tail by that much or more: such an image is harmful.
-HARMFUL_SLOWDOWN = 1.25
+# A filler that was stopped for that long is moved.
+HELD_MS: Millis = 1_500
 
 
 class Relief(NamedTuple):
@@ -49,40 +43,54 @@
             for run, step in load.runs.values()
             if step.is_filler and run.phase is RunPhase.RUNNING
         ]
-        if not fillers:
-            return []
-        held = [pair for pair in fillers if self._is_held_up(*pair, now_ms)]
+        held = [run for run, step in fillers if _is_held_up(run, step, now_ms)]
         if held:
-            return [Relief(run, None) for run, _ in held]
-        worst = load.worst_tail()
-        passed_ms = CALM_MS if self._changed_ms is None else now_ms - self._changed_ms
-        reliefs: list[Relief] = []
-        if worst >= HIGH_TAIL and passed_ms >= SETTLE_MS:
-            reliefs = self._relieve(fillers, worst, load)
-        elif worst <= LOW_TAIL and passed_ms >= CALM_MS:
-            reliefs = [
-                Relief(run, min(run.pace + STEP_UP, 100))
-                for run, _ in fillers
-                if run.pace < 100
-            ]
+            return [Relief(run, None) for run in held]
+        is_fresh = self._changed_ms is not None and (
+            now_ms - self._changed_ms < SETTLE_MS
+        )
+        if not fillers or is_fresh:
+            return []
+        reliefs = self._stop(fillers, load) or self._resume(fillers, load, now_ms)
         if reliefs:
             self._changed_ms = now_ms
         return reliefs
 
-    def _relieve(
-        self, fillers: list[tuple[Run, Step]], worst: float, load: WorkerLoad
+    def _stop(self, fillers: list[tuple[Run, Step]], load: WorkerLoad) -> list[Relief]:
+        """Stop the most harmful fillers of each strained task."""
+        stopped: dict[int, Relief] = {}
+        for run, step in serving(load):
+            excess = self._harm.use_of(run, step) - self._harm.limit_of(step)
+            by_harm = self._by_harm(fillers, step.image, load)
+            for filler, filler_step in by_harm:
+                if excess <= 0:
+                    break
+                if filler.pace == 0:
+                    continue
+                excess -= self._harm.added(filler_step, step.image, load)
+                stopped[id(filler)] = Relief(filler, 0)
+        return list(stopped.values())
+
+    def _by_harm(
+        self, fillers: list[tuple[Run, Step]], victim: str, load: WorkerLoad
+    ) -> list[tuple[Run, Step]]:
+        def harm_of(pair: tuple[Run, Step]) -> float:
+            return self._harm.added(pair[1], victim, load)
+
+        return sorted(fillers, key=harm_of, reverse=True)
+
+    def _resume(
+        self, fillers: list[tuple[Run, Step]], load: WorkerLoad, now_ms: Millis
     ) -> list[Relief]:
-        at_work = [pair for pair in fillers if pair[0].pace > 0]
-        harmful = [pair for pair in at_work if self._is_harmful(pair[1], load)]
-        if worst >= 1.0:
-            return [Relief(run, 0) for run, _ in harmful or at_work]
-        return [Relief(run, run.pace // 2) for run, _ in harmful or at_work]
-
-    def _is_held_up(self, run: Run, step: Step, now_ms: Millis) -> bool:
-        """Tell whether a filler would better start again elsewhere."""
-        is_held = run.pace == 0 and now_ms - run.changed_ms >= HELD_MS
-        is_young = now_ms - run.since_ms < HELD_MS + SHORT_RUN_MS
-        return is_held and (step.checkpoints or is_young)
-
-    def _is_harmful(self, step: Step, load: WorkerLoad) -> bool:
-        return self._harm.worst_pair(step.image, load) >= HARMFUL_SLOWDOWN
+        """Let one stopped filler go on if there is room for it."""
+        for run, step in fillers:
+            if run.pace < 100 and self._harm.strain(step, load, now_ms) <= 1.0:
+                return [Relief(run, 100)]
+        return []
+
+
+def _is_held_up(run: Run, step: Step, now_ms: Millis) -> bool:
+    """Tell whether a filler would better start again elsewhere."""
+    is_held = run.pace == 0 and now_ms - run.changed_ms >= HELD_MS
+    is_young = now_ms - run.since_ms < HELD_MS + SHORT_RUN_MS
+    return is_held and (step.checkpoints or is_young)
--- a/hyssopweir/run_orders.py
+++ b/hyssopweir/run_orders.py
@@ -105,7 +105,7 @@
 
     def void(self, run: Run, link: AgentLink, reason: str) -> None:
         """Note that a run has not started and never will."""
-        link.load.release(run.ref)
+        link.load.release(run.ref, self._state.now_ms())
         progress = self._state.jobs.get(run.ref.task.job)
         if progress is None:
             return
--- a/hyssopweir/run_reports.py
+++ b/hyssopweir/run_reports.py
@@ -30,6 +30,7 @@
         listed = {run.ref for run in holding.running}
         for report in holding.running:
             self._take_listed(link, report, holding.born_ms)
+        link.load.note_report(self._state.now_ms())
         self._state.harm.note(link.load, self._state.now_ms())
         for end in holding.ended:
             self._take_end(link, end)
@@ -108,7 +109,7 @@
         self._orders.stop(run, link, "run is not recorded here")
 
     def _take_end(self, link: AgentLink, end: EndedRun) -> None:
-        link.load.release(end.ref)
+        link.load.release(end.ref, self._state.now_ms())
         found = self._state.find(end.ref.task)
         if found is None:
             return
@@ -159,7 +160,7 @@
 
     def lapse(self, link: AgentLink, ref: RunRef) -> None:
         """Note that a run is over without a report of its end."""
-        link.load.release(ref)
+        link.load.release(ref, self._state.now_ms())
         progress = self._state.jobs.get(ref.task.job)
         if progress is None:
             return
--- a/hyssopweir/step_placement.py
+++ b/hyssopweir/step_placement.py
@@ -29,8 +29,8 @@
 SERVING_USE = 0.6
 # Fillers get at least that share of their processors, else they wait.
 LEAST_FILLER_SHARE = 0.45
-# Harm to tails that is likely, but not certain.
-RISK_PENALTY = 0.3
+# A filler that takes all the room which tails leave, by one on a fully used worker.
+STRAIN_WEIGHT = 1.0
 
 
 def choose_worker(
@@ -44,21 +44,23 @@
     """Return the worker that suits a task best, None if it should wait."""
     best, best_cost = None, float("inf")
     for load in workers:
-        if not fits(ref, step, load, harm):
+        if not fits(ref, step, load):
             continue
         cost = cost_of(step, task, load, now_ms)
+        if step.is_filler and cost < best_cost:
+            cost += STRAIN_WEIGHT * harm.strain(step, load, now_ms)
         if cost < best_cost:
             best, best_cost = load, cost
     return best
 
 
-def fits(ref: TaskRef, step: Step, load: WorkerLoad, harm: FillerHarm) -> bool:
+def fits(ref: TaskRef, step: Step, load: WorkerLoad) -> bool:
     """Tell whether a worker may run a task of the step and has room for it."""
     if not load.free.holds(step.charge):
         return False
     if step.label and step.label not in load.entry.labels:
         return False
-    if step.is_filler and not _suits_filler(step, load, harm):
+    if step.is_filler and not _has_leftover(step, load):
         return False
     if not step.most_per_worker:
         return True
@@ -66,16 +68,14 @@
     return here < step.most_per_worker
 
 
-def _suits_filler(step: Step, load: WorkerLoad, harm: FillerHarm) -> bool:
-    wanted = load.filler_cpu() + step.room.cpu
-    if leftover_cpu(load) < LEAST_FILLER_SHARE * wanted:
-        return False
-    return harm.may_place(step, load)
+def _has_leftover(step: Step, load: WorkerLoad) -> bool:
+    wanted = load.filler_cpu + step.room.cpu
+    return leftover_cpu(load) >= LEAST_FILLER_SHARE * wanted
 
 
 def leftover_cpu(load: WorkerLoad) -> float:
     """Return the processors that counted tasks leave unused, in thousandths."""
-    serving = load.serving_cpu()
+    serving = load.serving_cpu
     used = SERVING_USE * serving + (load.taken.cpu - serving)
     return load.entry.room.cpu - used
 
@@ -95,12 +95,12 @@
 def _load_cost(step: Step, load: WorkerLoad) -> float:
     total = max(load.entry.room.cpu, 1)
     if step.is_filler:
-        wanted = load.filler_cpu() + step.room.cpu
-        return wanted / max(leftover_cpu(load), 1.0) + RISK_PENALTY * (load.servers > 0)
+        wanted = load.filler_cpu + step.room.cpu
+        return wanted / max(leftover_cpu(load), 1.0)
     if step.is_endless:
         # Tasks of one image together: fillers that harm no other image may join them.
         cost = (load.free.cpu - step.room.cpu) / total
         cost += MIXED_PENALTY * bool(load.serving_images() - {step.image})
         return cost + HIGH_TAIL_PENALTY * (load.worst_tail() >= HIGH_TAIL)
-    used = (load.taken.cpu + load.filler_cpu() + step.room.cpu) / total
+    used = (load.taken.cpu + load.filler_cpu + step.room.cpu) / total
     return used + FREE_PENALTY * (not load.servers)
--- a/hyssopweir/worker_load.py
+++ b/hyssopweir/worker_load.py
@@ -26,6 +26,11 @@
         self.taken = Room()
         self.servers = 0
         self.fillers = 0
+        # Processors of tasks that last, and those that fillers ask for.
+        self.serving_cpu = 0
+        self.filler_cpu = 0
+        self.filler_gone_ms: Millis = 0
+        self._tails: dict[str, tuple[float, Millis]] | None = None
         self.is_confirmed = False
         self.is_listed = True
         self.heard_ms: Millis = 0
@@ -46,20 +51,34 @@
             return
         self.runs[run.ref] = (run, step)
         self.taken = self.taken.plus(step.charge)
-        self.servers += step.is_endless
-        self.fillers += step.is_filler
+        self._count(step, 1)
 
-    def release(self, ref: RunRef) -> Run | None:
+    def release(self, ref: RunRef, now_ms: Millis) -> Run | None:
         """Give back the room of a run that is over."""
         held = self.runs.pop(ref, None)
         if held is None:
             return None
         run, step = held
         self.taken = self.taken.minus(step.charge)
-        self.servers -= step.is_endless
-        self.fillers -= step.is_filler
+        self._count(step, -1)
+        if step.is_filler:
+            self.filler_gone_ms = now_ms
         return run
 
+    def _count(self, step: Step, sign: int) -> None:
+        self._tails = None
+        if step.is_endless:
+            self.servers += sign
+            self.serving_cpu += sign * step.room.cpu
+        if step.is_filler:
+            self.fillers += sign
+            self.filler_cpu += sign * step.room.cpu
+
+    def note_report(self, now_ms: Millis) -> None:
+        """Note that the figures of the runs are new."""
+        self.heard_ms = now_ms
+        self._tails = None
+
     def takes_work(self, now_ms: Millis, silence_ms: Millis) -> bool:
         """Tell whether new tasks may be placed here."""
         return (
@@ -70,23 +89,17 @@
             and now_ms >= self._ejected_until_ms
         )
 
-    def serving_cpu(self) -> int:
-        """Return the processors of tasks that last, in thousandths of a core."""
-        return sum(s.room.cpu for _, s in self.runs.values() if s.is_endless)
-
-    def filler_cpu(self) -> int:
-        """Return the processors that fillers ask for, in thousandths of a core."""
-        return sum(s.room.cpu for _, s in self.runs.values() if s.is_filler)
-
     def serving_images(self) -> set[str]:
         """Return the images of the tasks with a tail target."""
-        return {s.image for _, s in self.runs.values() if s.tail_target_ms}
+        return set(self.tails())
 
     def tails(self) -> dict[str, tuple[float, Millis]]:
         """Return the highest tail of each image, by its target, and the target in ms.
 
         The tail of a task that is not at work yet counts as none.
         """
+        if self._tails is not None:
+            return self._tails
         tails: dict[str, tuple[float, Millis]] = {}
         for run, step in self.runs.values():
             if not step.tail_target_ms:
@@ -94,6 +107,7 @@
             tail = run.figure / step.tail_target_ms if run.percent >= 100 else 0.0
             known = tails.get(step.image, (0.0, 0))[0]
             tails[step.image] = (max(tail, known), step.tail_target_ms)
+        self._tails = tails
         return tails
 
     def worst_tail(self) -> float:
--- a/hyssopweir/workflow_progress.py
+++ b/hyssopweir/workflow_progress.py
@@ -10,7 +10,7 @@
 from typing import Any, NamedTuple
 
 from hyssopweir.clock import Millis
-from hyssopweir.workflows import Step, Workflow
+from hyssopweir.workflows import Step, Workflow, remaining_ms
 
 
 class WorkflowState(str, Enum):
@@ -128,6 +128,7 @@
 
     def __init__(self, workflow: Workflow) -> None:
         self.workflow = workflow
+        self.remaining_ms = remaining_ms(workflow.steps)
         self.is_cancelled = False
         self.has_started = False
         self.finished_ms: Millis = 0
