Place fillers where they get their processors and harm no tail

Cause: oversubscribed fillers run long and strain tails all the while; a filler whose image harms no task of a worker waited for room that it does not need; a fixed margin for the swing of the load left no room at its peak.

--- a/hyssopweir/agent_link.py
+++ b/hyssopweir/agent_link.py
@@ -101,8 +101,8 @@
         wait_ms, pause_ms = 0, RETRY_MS
         while True:
             sent_ms = self._clock.now_ms()
-            # A call without an answer may still renew the lease: a silent worker is asked
-            # without, or its lease would never be known to have ended.
+            # A call without an answer may still renew the lease, so that the lease of a
+            # silent worker must not be asked for again: it would never end for certain.
             lease_until_ms = None if self._is_silent else self.lease_until_ms() or None
             self._lease_until_ms = max(self._lease_until_ms, lease_until_ms or 0)
             reply = await self._agent.hold(
--- a/hyssopweir/filler_harm.py
+++ b/hyssopweir/filler_harm.py
@@ -29,9 +29,15 @@
 FIRST_BASE = 0.25
 # The least tail that was reported belongs to a task that is not quite idle.
 BASE_OF_LEAST = 0.8
-# Use that a tail near its target stands for, and what changes of load may add.
-HIGH_TAIL = 0.8
-LOAD_MARGIN = 0.08
+# Shares of the target: fillers are stopped at the first, and placed up to the second.
+HIGH_TAIL = 0.95
+SAFE_TAIL = 0.75
+# The load of a task may rise that much while a filler runs, but not above its peak.
+LOAD_RISE = 0.1
+# Peaks fade by that share with each report, so that they follow a change of load.
+PEAK_FADING = 0.005
+# Harm that can't be told from none.
+LEAST_HARM = 0.015
 
 Mix = Mapping[str, float]
 
@@ -50,6 +56,7 @@
     def __init__(self) -> None:
         self._harm: dict[tuple[str, str], float] = {}
         self._least: dict[str, float] = {}
+        self._peak: dict[str, float] = {}
         self._readings: dict[object, Reading] = {}
 
     def note(self, load: WorkerLoad, now_ms: Millis) -> None:
@@ -66,11 +73,21 @@
             least = self._least.get(step.image, run.figure)
             self._least[step.image] = min(least, run.figure)
             reading = Reading(now_ms, self.use_of(run, step), mix)
+            self._note_peak(step.image, self._alone(reading, step.image))
             before = self._readings.get(run.ref)
             self._readings[run.ref] = reading
             if before is not None:
                 self._learn(step.image, before, reading)
 
+    def _alone(self, reading: Reading, victim: str) -> float:
+        """Return the use without the fillers of a reading."""
+        harm = sum(self.of(image, victim) * x for image, x in reading.mix.items())
+        return max(reading.use - harm, 0.0)
+
+    def _note_peak(self, image: str, alone: float) -> None:
+        peak = self._peak.get(image, alone)
+        self._peak[image] = max(alone, peak - PEAK_FADING * (peak - alone))
+
     def forget(self, load: WorkerLoad) -> None:
         """Drop the readings of a worker that is gone."""
         for ref in load.runs:
@@ -100,9 +117,9 @@
         """Return the use of a task's capacity that its tail stands for, 0 to 1."""
         return 1.0 - min(self._base_ms(step) / max(run.figure, 1.0), 1.0)
 
-    def limit_of(self, step: Step) -> float:
-        """Return the use at which the tail comes near its target."""
-        return 1.0 - min(self._base_ms(step) / (HIGH_TAIL * step.tail_target_ms), 1.0)
+    def limit_of(self, step: Step, share: float = HIGH_TAIL) -> float:
+        """Return the use at which the tail is a share of its target."""
+        return 1.0 - min(self._base_ms(step) / (share * step.tail_target_ms), 1.0)
 
     def _base_ms(self, step: Step) -> float:
         least = self._least.get(step.image)
@@ -116,9 +133,13 @@
         Fillers that do not show in the reported tails yet are accounted for.
         """
         rooms: dict[str, float] = {}
+        mix = mix_of(load)
         for run, step in serving(load):
-            use = self.use_of(run, step) + self._unseen(load, step.image, now_ms)
-            room = self.limit_of(step) - LOAD_MARGIN - use
+            use = self.use_of(run, step)
+            alone = self._alone(Reading(now_ms, use, mix), step.image)
+            rise = max(self._peak.get(step.image, 1.0) - alone, 0.0)
+            use += min(rise, LOAD_RISE) + self._unseen(load, step.image, now_ms)
+            room = self.limit_of(step, SAFE_TAIL) - use
             rooms[step.image] = min(room, rooms.get(step.image, room))
         return rooms
 
@@ -139,9 +160,11 @@
         worst = 0.0
         for victim, room in self.headroom(load, now_ms).items():
             added = self.added(step, victim, load)
+            if added < LEAST_HARM and room > -LOAD_RISE:
+                continue
             if added > room:
                 return float("inf")
-            worst = max(worst, added / room if room > 0 else 0.0)
+            worst = max(worst, added / room)
         return worst
 
 
--- a/hyssopweir/step_placement.py
+++ b/hyssopweir/step_placement.py
@@ -22,13 +22,15 @@
 FREE_PENALTY = 0.3
 # A task with a target beside others of another image.
 MIXED_PENALTY = 1.5
+# The first task that lasts on a worker that fillers have to themselves.
+EMPTY_PENALTY = 0.3
 # A high tail on a worker, for one more task with a target.
 HIGH_TAIL = 0.8
 HIGH_TAIL_PENALTY = 2.0
 # Of its processors, a task with a target uses that share, and leaves the rest.
 SERVING_USE = 0.6
 # Fillers get at least that share of their processors, else they wait.
-LEAST_FILLER_SHARE = 0.45
+LEAST_FILLER_SHARE = 0.8
 # A filler that takes all the room which tails leave, by one on a fully used worker.
 STRAIN_WEIGHT = 1.0
 
@@ -98,9 +100,11 @@
         wanted = load.filler_cpu + step.room.cpu
         return wanted / max(leftover_cpu(load), 1.0)
     if step.is_endless:
-        # Tasks of one image together: fillers that harm no other image may join them.
+        # The best fit leaves whole workers free for fillers. Tasks of one image stay
+        # together, since fillers that harm no other image may join them.
         cost = (load.free.cpu - step.room.cpu) / total
         cost += MIXED_PENALTY * bool(load.serving_images() - {step.image})
+        cost += EMPTY_PENALTY * (not load.servers)
         return cost + HIGH_TAIL_PENALTY * (load.worst_tail() >= HIGH_TAIL)
     used = (load.taken.cpu + load.filler_cpu + step.room.cpu) / total
     return used + FREE_PENALTY * (not load.servers)
