Do jobs with the least work left first among those that can be in time

Cause: under overload the earliest deadline first made most jobs late. Tests: each decision on the load that it answers.

--- a/hyssopweir/cell_scheduler.py
+++ b/hyssopweir/cell_scheduler.py
@@ -137,10 +137,11 @@
 
 def urgency(
     progress: WorkflowProgress, wall_ms: Millis
-) -> tuple[int, int, Millis, str]:
+) -> tuple[int, int, int, Millis, str]:
     """Return the sort key of a job; the least comes first.
 
-    Under overload, jobs that can still be done in time go before those that can't.
+    Under overload, jobs that can still be done in time go before those that can't, and
+    those with the least work left first, so that most of them are done in time.
     """
     workflow = progress.workflow
     objective_ms = workflow.objective_ms()
@@ -150,7 +151,8 @@
         left_ms = workflow_left_ms(progress)
         lateness += wall_ms + left_ms > deadline_ms
         lateness += wall_ms + left_ms > deadline_ms + 2 * objective_ms
-    return workflow.priority, lateness, deadline_ms, workflow.job
+    work = progress.left_work()
+    return workflow.priority, lateness, work, deadline_ms, workflow.job
 
 
 def workflow_left_ms(progress: WorkflowProgress) -> Millis:
--- a/hyssopweir/workflow_progress.py
+++ b/hyssopweir/workflow_progress.py
@@ -203,13 +203,24 @@
     def open_steps(self) -> list[StepKey]:
         """Return the steps that are not done and whose earlier steps are."""
         return [
-            (occurrence, number)
-            for occurrence in sorted(self._open)
-            for number in range(len(self.workflow.steps))
-            if self._left[occurrence, number]
-            and self.is_open_step((occurrence, number))
+            key
+            for key, _ in self._open_keys()
+            if self._left[key] and self.is_open_step(key)
         ]
 
+    def left_work(self) -> int:
+        """Return the estimated work of tasks that are not done; 0 if it never ends."""
+        return sum(
+            self._left[key] * step.room.cpu * step.estimated_ms
+            for key, step in self._open_keys()
+            if not step.is_endless
+        )
+
+    def _open_keys(self) -> Iterator[tuple[StepKey, Step]]:
+        for occurrence in sorted(self._open):
+            for number, step in enumerate(self.workflow.steps):
+                yield (occurrence, number), step
+
     def runs(self) -> Iterator[Run]:
         """Yield all runs that are not over."""
         for tasks in self.tasks.values():
--- /dev/null
+++ b/tests/test_step_placement.py
@@ -0,0 +1,165 @@
+"""Placing, pacing and order of tasks, each decision on the load that it answers."""
+
+import pytest
+
+from hyssopweir.cell_scheduler import urgency
+from hyssopweir.filler_harm import FillerHarm
+from hyssopweir.filler_pacing import FillerPacing
+from hyssopweir.room import Room
+from hyssopweir.step_placement import choose_worker
+from hyssopweir.worker_load import WorkerLoad
+from hyssopweir.workflow_progress import (
+    Run,
+    RunPhase,
+    RunRef,
+    Task,
+    TaskRef,
+    WorkflowProgress,
+)
+from hyssopweir.workflows import Step
+from tests.cell_world import build_entry, build_step, build_workflow
+
+REF = TaskRef("j1", 0, 0, 0)
+SERVER = build_step(1, is_endless=True, image="shop", tail_target_ms=50)
+FILLER = build_step(1, is_filler=True, image="batch", checkpoints=True)
+
+
+def build_load(number: int = 0) -> WorkerLoad:
+    load = WorkerLoad(build_entry(number))
+    load.is_confirmed = True
+    return load
+
+
+def add(load: WorkerLoad, step: Step, number: int, now_ms: int = 0) -> Run:
+    ref = RunRef(TaskRef(f"on-{load.entry.worker_id}", 0, 0, number), 1)
+    run = Run(ref, load.entry.worker_id, 0, now_ms)
+    run.phase = RunPhase.RUNNING
+    load.take(run, step)
+    return run
+
+
+def serve(load: WorkerLoad, tail_ms: float, number: int = 0) -> Run:
+    run = add(load, SERVER, number)
+    run.percent, run.figure = 100, tail_ms
+    return run
+
+
+def teach(harm: FillerHarm, tail_ms: float, rounds: int = 12) -> None:
+    """Report the tail of a server before and beside fillers, again and again."""
+    load = build_load(99)
+    server = serve(load, 15.0)
+    now_ms = 0
+    for _ in range(rounds):
+        server.figure = 15.0
+        load.note_report(now_ms)
+        harm.note(load, now_ms + 1_000)
+        filler = add(load, FILLER, 7, now_ms + 1_000)
+        filler.figure = 2_000
+        server.figure = tail_ms
+        load.note_report(now_ms + 2_000)
+        harm.note(load, now_ms + 2_000)
+        load.release(filler.ref, now_ms + 2_000)
+        now_ms += 4_000
+
+
+@pytest.mark.parametrize(("tail_ms", "is_placed"), [(15.0, True), (400.0, False)])
+def test_filler_joins_only_tails_that_it_does_not_harm(
+    tail_ms: float, is_placed: bool
+) -> None:
+    """Answers fillers of many images on workers that all have tasks with a target."""
+    harm = FillerHarm()
+    teach(harm, tail_ms)
+    load = build_load()
+    serve(load, 32.0)
+    chosen = choose_worker(REF, FILLER, Task(), [load], harm, 60_000)
+    assert (chosen is load) is is_placed
+
+
+def test_filler_waits_rather_than_share_too_few_processors() -> None:
+    """Answers a burst of fillers: each gets most of its processors, or waits."""
+    load = build_load()
+    placed = 0
+    while choose_worker(REF, FILLER, Task(), [load], FillerHarm(), 0) is not None:
+        add(load, FILLER, placed)
+        placed += 1
+    assert placed == 5
+
+
+def test_tasks_with_a_target_stay_with_their_image() -> None:
+    """Answers a mix of images: a filler harmless to one image finds workers of it."""
+    other = build_step(1, is_endless=True, image="desk", tail_target_ms=50)
+    same, mixed = build_load(0), build_load(1)
+    serve(same, 15.0)
+    add(mixed, other, 0)
+    chosen = choose_worker(REF, SERVER, Task(), [mixed, same], FillerHarm(), 0)
+    assert chosen is same
+
+
+def test_failed_task_goes_elsewhere() -> None:
+    """Answers workers that fail all that they start."""
+    first, second = build_load(0), build_load(1)
+    add(second, build_step(1, room=Room(4_000, 0)), 0)
+    task = Task()
+    task.failed_on.add("w0")
+    step = build_step(1)
+    assert choose_worker(REF, step, task, [first, second], FillerHarm(), 0) is second
+
+
+def test_full_worker_is_never_chosen() -> None:
+    """Guards against more work than a worker holds."""
+    load = build_load()
+    for number in range(4):
+        add(load, build_step(1), number)
+    step = build_step(1)
+    assert choose_worker(REF, step, Task(), [load], FillerHarm(), 0) is None
+    anti = build_step(1, room=Room(0, 0), most_per_worker=1)
+    run = Run(RunRef(REF, 1), "w0", 0, 0)
+    load.take(run, anti)
+    assert choose_worker(REF, anti, Task(), [load], FillerHarm(), 0) is None
+
+
+@pytest.mark.parametrize(
+    ("tail_ms", "paces"), [(20.0, []), (49.0, [0]), (600.0, [0, 0])]
+)
+def test_fillers_stop_until_the_tail_is_good(tail_ms: float, paces: list[int]) -> None:
+    """Answers a tail over its target well inside the time that is allowed."""
+    load = build_load()
+    serve(load, tail_ms)
+    for number in (1, 2):
+        add(load, FILLER, number).figure = 2_000
+    harm = FillerHarm()
+    harm._least["shop"] = 12.0
+    reliefs = FillerPacing(harm).decide(load, 5_000)
+    assert [relief.percent for relief in reliefs] == paces
+
+
+def test_stopped_filler_goes_on_or_moves() -> None:
+    """Answers a filler that would wait for ever beside a task that is always busy."""
+    load = build_load()
+    server = serve(load, 600.0)
+    filler = add(load, FILLER, 1)
+    filler.pace, filler.changed_ms = 0, 1_000
+    pacing, harm = FillerPacing(FillerHarm()), FillerHarm()
+    harm._least["shop"] = 12.0
+    assert pacing.decide(load, 2_000) == []
+    assert [relief.percent for relief in pacing.decide(load, 3_000)] == [None]
+    server.figure = 12.0
+    load.note_report(2_000)
+    assert [relief.percent for relief in pacing.decide(load, 2_000)] == [100]
+
+
+def test_order_under_overload() -> None:
+    """Answers more work than fits: most jobs are done in time, not most are late."""
+    small = build_workflow("small", build_step(2), accepted_ms=10_000)
+    large = build_workflow("large", build_step(9), accepted_ms=9_000)
+    late = build_workflow("late", build_step(1), accepted_ms=5_000)
+    urgent = build_workflow("urgent", build_step(9), accepted_ms=9_900, priority=0)
+    jobs = []
+    for workflow in (late, large, small, urgent):
+        priority = workflow.priority if workflow is urgent else 2
+        progress = WorkflowProgress(workflow._replace(priority=priority))
+        progress.open_due(0)
+        jobs.append(progress)
+    ordered = sorted(jobs, key=lambda progress: urgency(progress, 10_200))
+    names = [progress.workflow.job for progress in ordered]
+    assert names == ["urgent", "small", "large", "late"]
