Serve metrics as text, bound the log lines, name jobs and ages in events

Cause: the users' engineers have only logs and metrics; lines were unbounded and named runs in three ways.

--- a/hyssopweir/cell_scheduler.py
+++ b/hyssopweir/cell_scheduler.py
@@ -127,10 +127,11 @@
         load.take(run, step)
         self._state.log.emit(
             Event.TASK_STARTING,
-            task=str(ref),
-            run=run.ref.run,
+            **run.ref.fields(),
             worker=run.worker,
             free_cpu=load.free.cpu,
+            report_age_ms=now_ms - load.heard_ms,
+            waited_ms=now_ms - progress.added_ms,
         )
         return run, link
 
--- a/hyssopweir/cell_state.py
+++ b/hyssopweir/cell_state.py
@@ -61,6 +61,7 @@
     def add(self, progress: WorkflowProgress) -> None:
         """Take over a job."""
         self.jobs[progress.workflow.job] = progress
+        progress.added_ms = self.clock.now_ms()
         progress.open_due(self.clock.wall_ms())
         self.want_placing(progress.workflow.job)
 
--- a/hyssopweir/cell_upkeep.py
+++ b/hyssopweir/cell_upkeep.py
@@ -153,7 +153,11 @@
             if is_stalled(run, step, now_ms, link.load.heard_ms):
                 link.load.eject(now_ms, STALL_EJECTION_MS)
                 self._state.log.emit(
-                    Event.TASK_STALLED, task=str(run.ref.task), worker=run.worker
+                    Event.TASK_STALLED,
+                    **run.ref.fields(),
+                    worker=run.worker,
+                    percent=run.percent,
+                    still_ms=now_ms - run.moved_ms,
                 )
                 self._orders.stop(run, link, "no progress")
 
--- a/hyssopweir/platform/__main__.py
+++ b/hyssopweir/platform/__main__.py
@@ -7,7 +7,7 @@
 from result import Err
 
 from hyssopweir.clock import Clock
-from hyssopweir.events import configure_logging
+from hyssopweir.log_lines import log_to_output
 from hyssopweir.platform.instance import PlatformInstance
 from hyssopweir.platform.settings import load_platform_settings, settings_path
 
@@ -20,10 +20,10 @@
             print(fault, file=sys.stderr)
         return int(loaded.err_value[0].code)
     settings = loaded.ok_value
-    configure_logging(settings.log_level)
+    lines = log_to_output(settings.log_level, settings.lines_per_second)
     # Modules that are loaded never become garbage.
     gc.freeze()
-    asyncio.run(_run(PlatformInstance(settings, Clock())))
+    asyncio.run(_run(PlatformInstance(settings, lines, Clock())))
     return 0
 
 
--- a/hyssopweir/platform/instance.py
+++ b/hyssopweir/platform/instance.py
@@ -12,6 +12,7 @@
 from hyssopweir.clock import Clock, Millis
 from hyssopweir.codes import Code
 from hyssopweir.events import Event, EventLog
+from hyssopweir.log_lines import BoundedLines
 from hyssopweir.platform.frontend import Frontend, serve_http
 from hyssopweir.platform.http_calls import HttpCalls
 from hyssopweir.platform.operator_rows import (
@@ -28,6 +29,7 @@
 from hyssopweir.platform.worker_calls import HttpAgent, HttpWorkerListing
 from hyssopweir.queue_policies import QueueTable
 from hyssopweir.row_store import StoredRow, read_all
+from hyssopweir.text_metrics import CONTENT_TYPE, TextMetrics
 from hyssopweir.workflow_desk import WorkflowDesk
 
 CELL = "c0"
@@ -45,11 +47,16 @@
 class PlatformInstance(Service):
     """Serve callers, and own cells, until SIGTERM."""
 
-    def __init__(self, settings: PlatformSettings, clock: Clock) -> None:
+    def __init__(
+        self, settings: PlatformSettings, lines: BoundedLines, clock: Clock
+    ) -> None:
         super().__init__()
+        self._lines = lines
+        self._metrics = TextMetrics()
         self._settings = settings
         self._clock = clock
         self._log = EventLog(settings.instance, settings.data_centre, clock)
+        self._log.subscribe(self._metrics.take)
         self._calls = HttpCalls()
         store = HttpRowStore(self._calls, settings.store)
         self._store = store
@@ -84,6 +91,7 @@
         for handler, address in (
             (self._frontend.handle, self._settings.callers),
             (self._show_readiness, self._settings.readiness),
+            (self._show_metrics, self._settings.metrics),
         ):
             self._runners.append(await serve_http(handler, address))
         self.add_future(self._watch_configuration())
@@ -137,6 +145,10 @@
     async def _show_readiness(self, _: web.BaseRequest) -> web.StreamResponse:
         return web.Response(status=200 if self._is_ready() else 503)
 
+    async def _show_metrics(self, _: web.BaseRequest) -> web.StreamResponse:
+        text = self._metrics.text(self._lines.dropped)
+        return web.Response(body=text, headers={"Content-Type": CONTENT_TYPE})
+
     async def _watch_configuration(self) -> None:
         while True:
             page = await read_all(self._store, OPERATOR_TABLE, "", READ_TIMEOUT_MS)
--- a/hyssopweir/run_orders.py
+++ b/hyssopweir/run_orders.py
@@ -9,7 +9,7 @@
 from hyssopweir.cell_state import CellState
 from hyssopweir.clock import Millis
 from hyssopweir.events import Event
-from hyssopweir.workflow_progress import Run, RunEnd, RunPhase, RunRef
+from hyssopweir.workflow_progress import Run, RunEnd, RunPhase
 
 STOP_RETRY_MS: Millis = 150
 # A worker that refused a start is left alone until its next report is surely in.
@@ -83,7 +83,7 @@
             return
         if verdict is Verdict.UNKNOWN:
             self._state.log.emit(
-                Event.TASK_UNCERTAIN, run=_name(run.ref), worker=run.worker
+                Event.TASK_UNCERTAIN, **run.ref.fields(), worker=run.worker
             )
             if run.phase is RunPhase.ORDERED:
                 run.phase = RunPhase.UNCERTAIN
@@ -97,7 +97,7 @@
             link.load.eject(now_ms, REFUSAL_PAUSE_MS)
         self._state.log.emit(
             Event.ORDER_REFUSED,
-            run=_name(run.ref),
+            **run.ref.fields(),
             worker=run.worker,
             verdict=verdict.value,
         )
@@ -110,7 +110,7 @@
         if progress is None:
             return
         if progress.end(run.ref, RunEnd.VOID, "", self._state.now_ms()) is not None:
-            self._state.log.emit(Event.TASK_QUEUED, run=_name(run.ref), reason=reason)
+            self._state.log.emit(Event.TASK_QUEUED, **run.ref.fields(), reason=reason)
             self._state.changed(progress)
 
     def stop(
@@ -128,7 +128,7 @@
             return
         run.phase = phase
         self._state.log.emit(
-            Event.TASK_EVICTING, run=_name(run.ref), worker=run.worker, reason=reason
+            Event.TASK_EVICTING, **run.ref.fields(), worker=run.worker, reason=reason
         )
         self.spawn(self._stop(run, link))
 
@@ -155,7 +155,7 @@
         """Let a run work at a share of its speed."""
         self._state.log.emit(
             Event.TASK_PACED,
-            run=_name(run.ref),
+            **run.ref.fields(),
             worker=run.worker,
             percent=percent,
             reason=reason,
@@ -169,8 +169,3 @@
             if await link.pace(run, percent):
                 return
             await self._state.clock.sleep_ms(STOP_RETRY_MS)
-
-
-def _name(ref: RunRef) -> str:
-    task = ref.task
-    return f"{task.job}.{task.occurrence}.{task.step}.{task.number}#{ref.run}"
--- a/hyssopweir/run_reports.py
+++ b/hyssopweir/run_reports.py
@@ -89,7 +89,7 @@
             task.saved = report.saved
         if run.phase is RunPhase.UNCERTAIN and run.is_closed:
             self._state.log.emit(
-                Event.TASK_ADOPTED, task=str(report.ref.task), worker=run.worker
+                Event.TASK_ADOPTED, **report.ref.fields(), worker=run.worker
             )
             run.phase = RunPhase.RUNNING
             run.is_closed = False
@@ -104,7 +104,7 @@
         run.phase = RunPhase.RUNNING
         link.load.take(run, step)
         self._state.log.emit(
-            Event.RUN_UNKNOWN, run=str(report.ref), worker=link.entry.worker_id
+            Event.RUN_UNKNOWN, **report.ref.fields(), worker=link.entry.worker_id
         )
         self._orders.stop(run, link, "run is not recorded here")
 
@@ -122,8 +122,7 @@
             self._judge_worker(link, end, step)
         self._state.log.emit(
             Event.TASK_DONE if end.how is RunEnd.DONE else Event.TASK_FAILED,
-            task=str(end.ref.task),
-            run=end.ref.run,
+            **end.ref.fields(),
             worker=link.entry.worker_id,
             how=end.how.value,
         )
@@ -166,7 +165,7 @@
             return
         if progress.end(ref, RunEnd.LAPSED, "", self._state.now_ms()) is not None:
             self._state.log.emit(
-                Event.TASK_LAPSED, task=str(ref.task), worker=link.entry.worker_id
+                Event.TASK_LAPSED, **ref.fields(), worker=link.entry.worker_id
             )
             self._state.changed(progress)
 
--- /dev/null
+++ b/hyssopweir/text_metrics.py
@@ -0,0 +1,65 @@
+"""Counters and latency histograms, as text for a metrics collector."""
+
+from prometheus_client import (
+    CollectorRegistry,
+    Counter,
+    Gauge,
+    Histogram,
+    generate_latest,
+)
+
+from hyssopweir.clock import SECOND_MS, Millis
+from hyssopweir.events import EventRecord
+
+CONTENT_TYPE = "text/plain; version=0.0.4"
+# Seconds; from one call within a data centre to the longest objective.
+BUCKETS = (0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0, 30.0)
+# Fields of events that hold a duration in ms.
+DURATIONS = ("took_ms", "waited_ms")
+
+
+class TextMetrics:
+    """Count events and observe their durations."""
+
+    def __init__(self) -> None:
+        self._registry = CollectorRegistry()
+        self._events = Counter(
+            "hyssopweir_events", "Events by name.", ["name"], registry=self._registry
+        )
+        self._refusals = Counter(
+            "hyssopweir_refusals",
+            "Refused calls by result code.",
+            ["code"],
+            registry=self._registry,
+        )
+        self._durations = Histogram(
+            "hyssopweir_duration_seconds",
+            "Durations of what events report.",
+            ["name"],
+            buckets=BUCKETS,
+            registry=self._registry,
+        )
+        self._dropped = Gauge(
+            "hyssopweir_log_lines_dropped",
+            "Log lines that were left out.",
+            registry=self._registry,
+        )
+
+    def take(self, record: EventRecord) -> None:
+        """Count an event and observe its durations."""
+        name = record.event.name
+        self._events.labels(name).inc()
+        if "code" in record.fields:
+            self._refusals.labels(str(record.fields["code"])).inc()
+        for field in DURATIONS:
+            if field in record.fields:
+                self.observe(name, record.fields[field])
+
+    def observe(self, name: str, duration_ms: Millis) -> None:
+        """Observe a duration."""
+        self._durations.labels(name).observe(duration_ms / SECOND_MS)
+
+    def text(self, dropped: int) -> bytes:
+        """Return all metrics; ``dropped`` is the number of lines that were left out."""
+        self._dropped.set(dropped)
+        return generate_latest(self._registry)
--- a/hyssopweir/workflow_desk.py
+++ b/hyssopweir/workflow_desk.py
@@ -53,6 +53,7 @@
         ``STORE_UNAVAILABLE`` and ``CANCELLED`` mean that the job never runs,
         ``STORE_OUTCOME_UNKNOWN`` that it may.
         """
+        started_ms = self._clock.now_ms()
         request = self._request_key(workflow.job)
         cancel = self._request_key(workflow.job + CANCEL_SUFFIX)
         changes = (
@@ -64,7 +65,14 @@
             return stored
         outcome = stored.ok_value
         if isinstance(outcome, Committed) or request in outcome.rows:
-            self._log.emit(Event.JOB_ACCEPTED, job=workflow.job, queue=workflow.queue)
+            self._log.emit(
+                Event.JOB_ACCEPTED,
+                job=workflow.job,
+                queue=workflow.queue,
+                tasks=sum(step.tasks for step in workflow.steps),
+                is_repeated=not isinstance(outcome, Committed),
+                took_ms=self._clock.now_ms() - started_ms,
+            )
             return Ok(None)
         return Err(not_run(Code.CANCELLED, "the job was cancelled before it came"))
 
--- a/hyssopweir/workflow_progress.py
+++ b/hyssopweir/workflow_progress.py
@@ -57,6 +57,11 @@
     step: int
     number: int
 
+    def fields(self) -> dict[str, Any]:
+        """Return the fields that name the task in events."""
+        name = f"{self.job}.{self.occurrence}.{self.step}.{self.number}"
+        return {"job": self.job, "task": name}
+
 
 class RunRef(NamedTuple):
     """Name a run of a task."""
@@ -64,6 +69,10 @@
     task: TaskRef
     run: int
 
+    def fields(self) -> dict[str, Any]:
+        """Return the fields that name the run in events."""
+        return {**self.task.fields(), "run": self.run}
+
 
 class Run:
     """Follow one run of a task on a worker; ``born_ms`` tells the worker's lives."""
@@ -131,6 +140,8 @@
         self.remaining_ms = remaining_ms(workflow.steps)
         self.is_cancelled = False
         self.has_started = False
+        # When this owner learned of the job.
+        self.added_ms: Millis = 0
         self.finished_ms: Millis = 0
         self._failed = False
         self.tasks: dict[StepKey, list[Task]] = {}
