--- a/hyssopweir/run_orders.py
+++ b/hyssopweir/run_orders.py
@@ -121,7 +121,8 @@
         phase: RunPhase = RunPhase.STOPPING,
     ) -> None:
         """Stop a run; its room stays taken until a report shows that it is over."""
-        if run.phase is RunPhase.STOPPING:
+        if run.phase is RunPhase.STOPPING or not link.load.is_confirmed:
+            # The first report of a worker stops what is not wanted any more.
             return
         if run.phase is RunPhase.RECORDED:
             self.void(run, link, reason)
--- a/tests/test_cell.py
+++ b/tests/test_cell.py
@@ -266,3 +266,28 @@
             assert await world.until(f"j{number}", DONE, 10_000)
 
     run_virtual(play())
+
+
+def test_cancelled_run_stops_on_a_worker_that_answers_late() -> None:
+    """Guards against a stop that is dropped before the worker was heard.
+
+    Found by hunt-99a3-35 on karribank-lw: a run went on for 33 s.
+    """
+
+    async def play() -> None:
+        world = CellWorld(workers=4)
+        await world.sleep_ms(500)
+        short = build_step(4, estimated_ms=2_000)
+        endless = build_step(4, is_endless=True, most_per_worker=1)
+        assert await world.submit(build_workflow("j1", short, endless))
+        await world.sleep_ms(1_000)
+        await world.owner().crash()
+        world.workers["w1"].is_cut = True
+        cancelled = await world.instances[0].desk.cancel("j1", 3_000)
+        assert cancelled.is_ok()
+        await world.sleep_ms(2_500)
+        world.workers["w1"].is_cut = False
+        await world.sleep_ms(2_000)
+        assert not any(worker.running for worker in world.workers.values())
+
+    run_virtual(play())
