Refuse at once while the store is away, and answer before the caller's deadline

Cause: a call to the store could outlast the caller, and each new caller waited for 1.5 s while the store was known to be away. Tests failed before (the second caller waited).

--- a/hyssopweir/platform/instance.py
+++ b/hyssopweir/platform/instance.py
@@ -61,12 +61,8 @@
         store = HttpRowStore(self._calls, settings.store)
         self._store = store
         self._queues = QueueTable()
-        self._frontend = Frontend(
-            self._queues,
-            WorkflowDesk(CELL, store, clock, self._log),
-            clock,
-            self._log,
-        )
+        self._desk = WorkflowDesk(CELL, store, clock, self._log)
+        self._frontend = Frontend(self._queues, self._desk, clock, self._log)
         self._host = CellHost(
             CELL,
             settings.instance,
@@ -173,6 +169,7 @@
 
     def _take_rows(self, rows: list[StoredRow], version: int) -> None:
         self._store_ms = self._clock.now_ms()
+        self._desk.note_answer()
         self._version = version
         for row in rows:
             if row.at.key != CONFIGURATION_KEY or row.is_deleted:
--- a/hyssopweir/workflow_desk.py
+++ b/hyssopweir/workflow_desk.py
@@ -28,10 +28,13 @@
 # A refusal sends the caller to another instance, which may reach the store.
 REFUSAL_MS: Millis = 150
 # An uncertain write is repeated that long before the caller is told so.
-SETTLE_MS: Millis = 1_500
+SETTLE_MS: Millis = 700
 READ_MS: Millis = 1_500
+# While the store was away that lately, and has not answered since, nothing is tried.
+AWAY_MS: Millis = 1_000
 # Time that an answer needs to reach the caller before its deadline.
 ANSWER_MARGIN_MS: Millis = 200
+LEAST_PATIENCE_MS: Millis = 50
 
 
 class WorkflowDesk:
@@ -44,6 +47,11 @@
         self._log = log
         self._timer = ReplyTimer()
         self.is_store_up = True
+        self._away_ms: Millis = 0
+
+    def note_answer(self) -> None:
+        """Note that the store answers this instance."""
+        self._note_store(True)
 
     async def submit(
         self, workflow: Workflow, patience_ms: Millis
@@ -91,10 +99,15 @@
         """Apply changes, repeating them after a lost reply; they apply at most once."""
         started_ms = self._clock.now_ms()
         is_uncertain = False
-        patience_ms -= ANSWER_MARGIN_MS
+        patience_ms = max(patience_ms - ANSWER_MARGIN_MS, LEAST_PATIENCE_MS)
+        if not self.is_store_up and started_ms - self._away_ms < AWAY_MS:
+            detail = "the store does not answer this instance"
+            return Err(not_run(Code.STORE_UNAVAILABLE, detail))
         while True:
             sent_ms = self._clock.now_ms()
-            reply = await self._store.transact(changes, self._timer.timeout_ms())
+            left_ms = max(started_ms + patience_ms - sent_ms, LEAST_PATIENCE_MS)
+            timeout_ms = min(self._timer.timeout_ms(), left_ms)
+            reply = await self._store.transact(changes, timeout_ms)
             now_ms = self._clock.now_ms()
             if isinstance(reply, Ok):
                 self._timer.note(now_ms - sent_ms)
@@ -167,9 +180,8 @@
 
     async def _read(self, table: str, start: str, end: str) -> Result[RowPage, Failure]:
         sent_ms = self._clock.now_ms()
-        reply = await self._store.read_rows(
-            table, self._cell, start, end, self._timer.timeout_ms()
-        )
+        timeout_ms = min(self._timer.timeout_ms(), READ_MS)
+        reply = await self._store.read_rows(table, self._cell, start, end, timeout_ms)
         if isinstance(reply, Ok):
             self._timer.note(self._clock.now_ms() - sent_ms)
             self._note_store(True)
@@ -181,6 +193,8 @@
         return RowKey(REQUESTS, self._cell, key)
 
     def _note_store(self, is_up: bool) -> None:
+        if not is_up:
+            self._away_ms = self._clock.now_ms()
         if is_up != self.is_store_up:
             self.is_store_up = is_up
             self._log.emit(Event.STORE_UP if is_up else Event.STORE_DOWN)
--- a/tests/test_cell.py
+++ b/tests/test_cell.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from hyssopweir.codes import Code, Outcome
 from hyssopweir.workflow_progress import TaskRef, WorkflowState
 from tests.cell_world import CellWorld, build_step, build_workflow
 from tests.virtual_time import run_virtual
@@ -216,6 +217,43 @@
     run_virtual(play())
 
 
+def test_desk_refuses_at_once_while_the_store_is_away() -> None:
+    """Guards against callers who are held although nothing can be stored."""
+
+    async def play() -> None:
+        world = CellWorld()
+        await world.sleep_ms(500)
+        instance = world.instances[0]
+        instance.faults.is_silent = True
+        first = await instance.desk.submit(build_workflow("j1"), 3_000)
+        assert first.unwrap_err().code is Code.STORE_OUTCOME_UNKNOWN
+        sent_ms = world.clock.now_ms()
+        second = await instance.desk.submit(build_workflow("j2"), 3_000)
+        assert second.unwrap_err().outcome is Outcome.NOT_RUN
+        assert world.clock.now_ms() == sent_ms
+        await world.sleep_ms(1_500)
+        instance.faults.is_silent = False
+        assert await world.submit(build_workflow("j3"))
+
+    run_virtual(play())
+
+
+def test_answer_comes_before_the_deadline() -> None:
+    """Guards against a caller who gives up before the answer."""
+
+    async def play() -> None:
+        world = CellWorld()
+        await world.sleep_ms(500)
+        instance = world.instances[0]
+        instance.faults.is_silent = True
+        sent_ms = world.clock.now_ms()
+        answer = await instance.desk.submit(build_workflow("j1"), 400)
+        assert answer.is_err()
+        assert world.clock.now_ms() - sent_ms < 400
+
+    run_virtual(play())
+
+
 def test_job_fails_after_its_attempts() -> None:
     """Guards against more runs than allowed, and against jobs that never end."""
 
