--- a/hyssopweir/platform/instance.py
+++ b/hyssopweir/platform/instance.py
@@ -82,7 +82,7 @@
     async def on_start(self) -> None:
         """Open the listeners and start all parts."""
         loop = asyncio.get_running_loop()
-        loop.add_signal_handler(signal.SIGTERM, self._stop_wanted.set)
+        loop.add_signal_handler(signal.SIGTERM, self.request_stop)
         loop.add_signal_handler(signal.SIGHUP, self._reload)
         for handler, address in (
             (self._frontend.handle, self._settings.callers),
@@ -108,6 +108,10 @@
         await self._calls.close()
         self._log.emit(Event.INSTANCE_STOPPED)
 
+    def request_stop(self) -> None:
+        """Begin a planned stop."""
+        self._stop_wanted.set()
+
     def _reload(self) -> None:
         loaded = load_platform_settings(settings_path())
         if isinstance(loaded, Err):
--- /dev/null
+++ b/tests/platform_site.py
@@ -0,0 +1,238 @@
+"""A stand-in of the users' platform over HTTP: its store and workers."""
+
+import asyncio
+import base64
+import json
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from pathlib import Path
+from typing import Any, TextIO
+
+from aiohttp import web
+
+from hyssopweir.clock import Clock
+from hyssopweir.events import EventLog
+from hyssopweir.log_lines import BoundedLines
+from hyssopweir.platform.frontend import serve_http
+from hyssopweir.platform.http_calls import HttpCalls
+from hyssopweir.platform.instance import PlatformInstance
+from hyssopweir.platform.row_calls import HttpRowStore
+from hyssopweir.platform.settings import PlatformSettings
+from hyssopweir.row_store import Expect, Remove, RowKey, StoredRow, Write
+from tests.row_fakes import MemoryRows
+
+HOST = "127.0.0.1"
+HOST_NAME = "crews.example"
+PREFIX = "/rounds/"
+CONFIGURATION = {
+    "version": 3,
+    "routes": [
+        {
+            "name": "rounds",
+            "host": HOST_NAME,
+            "pathPrefix": PREFIX,
+            "service": "lanterns",
+            "priority": 0,
+            "maxAttempts": 3,
+            "stretchFactor": 1.5,
+            "targetLatencyMs": 300,
+        }
+    ],
+    "services": [{"name": "lanterns"}],
+    "limits": {"maxBodyBytes": 2_000},
+}
+
+
+def port_of(runner: web.ServerRunner) -> int:
+    return int(runner.addresses[0][1])
+
+
+class StoreSite:
+    """Serve the platform's store from memory."""
+
+    def __init__(self) -> None:
+        self.rows = MemoryRows()
+        self.status = 200
+        self.delay_s = 0.0
+        self.calls: list[str] = []
+
+    def put(self, table: str, key: str, value: Any) -> None:
+        at = RowKey(table, "", key)
+        body = value if isinstance(value, bytes) else json.dumps(value).encode()
+        row = self.rows.rows.get(at)
+        self.rows.apply([Write(at, body, row.version if row else 0)])
+
+    async def handle(self, req: web.BaseRequest) -> web.StreamResponse:
+        self.calls.append(req.path)
+        await asyncio.sleep(self.delay_s)
+        if self.status != 200:
+            return web.Response(status=self.status)
+        if req.path == "/rows-tx":
+            return self._transact(json.loads(await req.read()))
+        if req.path == "/rows-get":
+            return self._read(req.query)
+        return await self._feed(req.query)
+
+    def _transact(self, body: dict[str, Any]) -> web.Response:
+        expected = {_key(row): row["ver"] for row in body["expected"]}
+        written = {_key(row): base64.b64decode(row["value"]) for row in body["writes"]}
+        removed = {_key(row) for row in body["remove"]}
+        changes: list[Write | Remove | Expect] = []
+        for at, version in expected.items():
+            if at in written:
+                changes.append(Write(at, written[at], version))
+            elif at in removed:
+                changes.append(Remove(at, version))
+            else:
+                changes.append(Expect(at, version))
+        outcome = self.rows.apply(changes)
+        if hasattr(outcome, "rows"):
+            rows = [_row(row) for row in outcome.rows.values()]
+            return web.json_response({"rows": rows}, status=412)
+        return web.json_response({"ver": outcome.version, "nowMs": 1})
+
+    def _read(self, query: Any) -> web.Response:
+        rows = [
+            _row(row)
+            for at, row in sorted(self.rows.rows.items())
+            if (at.table, at.part) == (query["table"], query["part"])
+            and at.key >= query.get("from", "")
+            and ("target" not in query or at.key < query["target"])
+        ]
+        data = {"rows": rows, "hasMore": False, "ver": self.rows.version, "nowMs": 1}
+        return web.json_response(data)
+
+    async def _feed(self, query: Any) -> web.Response:
+        after = int(query["after"])
+        for _ in range(int(query["waitMs"]) // 10 + 1):
+            if after < self.rows.first_known:
+                return web.Response(status=410)
+            rows = [
+                _row(row)
+                for row in self.rows.log
+                if row.version > after and row.at.table == query["table"]
+            ]
+            if rows:
+                break
+            await asyncio.sleep(0.01)
+        return web.json_response({"rows": rows, "ver": self.rows.version, "nowMs": 1})
+
+
+def _key(row: dict[str, Any]) -> RowKey:
+    return RowKey(row["table"], row["part"], row["key"])
+
+
+def _row(row: StoredRow) -> dict[str, Any]:
+    data = {**row.at._asdict(), "ver": row.version}
+    if row.is_deleted:
+        return {**data, "deleted": True}
+    return {**data, "value": base64.b64encode(row.value).decode()}
+
+
+class WorkerSite:
+    """Serve one worker that ends every task at once, or answers as it is told."""
+
+    def __init__(self, worker_id: str = "i-1") -> None:
+        self.worker_id = worker_id
+        self.calls: list[tuple[str, dict[str, Any]]] = []
+        self.answer: tuple[int, Any] | None = None
+        self.ended: list[list[Any]] = []
+        self.count = 0
+
+    async def handle(self, req: web.BaseRequest) -> web.StreamResponse:
+        body = json.loads(await req.read())
+        self.calls.append((req.path, body))
+        if req.headers["Expected-Instance"] != self.worker_id:
+            return web.Response(status=421)
+        if self.answer is not None:
+            status, data = self.answer
+            return web.json_response(data, status=status)
+        if req.path == "/run-start":
+            self.count += 1
+            self.ended.append([self.count, body["task"], body["run"], "done", ""])
+        if req.path == "/hold":
+            self.ended = [end for end in self.ended if end[0] > body["acknowledged"]]
+            if not self.ended:
+                await asyncio.sleep(0.02)
+            data = {"clockMs": 5_000, "born": 7, "running": [], "finished": self.ended}
+            return web.json_response(data)
+        return web.json_response({"clockMs": 5_000})
+
+    def entry(self, port: int, **fields: Any) -> dict[str, Any]:
+        return {
+            "service": "lanterns",
+            "address": f"{HOST}:{port}",
+            "zone": "depot-north",
+            "version": "v1",
+            "slots": 8,
+            "state": "ready",
+            "coldRemainingMs": 0,
+            "capacity": {"cpu": 16_000, "memMb": 32_768, "gpu": 0},
+            "labels": ["a", "r1-3"],
+            "clockMs": 5_000,
+            "sequence": 4,
+            **fields,
+        }
+
+
+def null_output() -> TextIO:
+    return Path("/dev/null").open("w", encoding="utf-8")
+
+
+class PlatformSite:
+    """Hold the stand-ins and one instance."""
+
+    def __init__(self) -> None:
+        self.store = StoreSite()
+        self.worker = WorkerSite()
+        self.calls = HttpCalls()
+        self.records: list[Any] = []
+        self.store_port = 0
+        self.worker_port = 0
+
+    @property
+    def rows(self) -> HttpRowStore:
+        return HttpRowStore(self.calls, (HOST, self.store_port))
+
+    def log(self) -> EventLog:
+        log = EventLog("kista-1", "kista", Clock())
+        log.subscribe(self.records.append)
+        return log
+
+    @asynccontextmanager
+    async def instance(self, ports: list[int]) -> AsyncIterator[PlatformInstance]:
+        settings = PlatformSettings(
+            instance="edge-1",
+            data_centre="depot-north",
+            callers=(HOST, ports[0]),
+            readiness=(HOST, ports[1]),
+            metrics=(HOST, ports[2]),
+            store=(HOST, self.store_port),
+            keep_ms=120_000,
+            stop_limit_ms=2_000,
+            lines_per_second=100,
+            log_level="ERROR",
+        )
+        with null_output() as output:
+            lines = BoundedLines(100, output)
+            instance = PlatformInstance(settings, lines, Clock())
+            task = asyncio.get_running_loop().create_task(instance.run())
+            try:
+                yield instance
+            finally:
+                instance.request_stop()
+                await task
+
+
+@asynccontextmanager
+async def platform_site() -> AsyncIterator[PlatformSite]:
+    site = PlatformSite()
+    store = await serve_http(site.store.handle, (HOST, 0))
+    worker = await serve_http(site.worker.handle, (HOST, 0))
+    site.store_port, site.worker_port = port_of(store), port_of(worker)
+    try:
+        yield site
+    finally:
+        await site.calls.close()
+        await store.cleanup()
+        await worker.cleanup()
