Close a task's act whose background task never began

Cause: a shard that is lost right after a start was decided cancels the background task before its first step, so that its finally does not run and the coroutine is dropped unawaited. No start is lost: nothing was recorded or sent, and the next owner starts the task. Ruled out: a start after its record (recorded inside the coroutine).

--- a/hyssopweir/task_shards.py
+++ b/hyssopweir/task_shards.py
@@ -279,7 +279,9 @@
 
     def _spawn(self, entry: Entry, act: Act) -> None:
         entry.busy = True
-        self._in_background(self._act(entry, act))
+        task = self._in_background(self._act(entry, act))
+        # A task that is cancelled before its first step never reaches its finally.
+        task.add_done_callback(lambda _: act.close())
 
     async def _act(self, entry: Entry, act: Act) -> None:
         failed = True
@@ -315,10 +317,11 @@
         if event is not None:
             self._parts.log.emit(event, job=job)
 
-    def _in_background(self, work: Coroutine[Any, Any, None]) -> None:
+    def _in_background(self, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
         task = asyncio.create_task(work)
         self._acts.add(task)
         task.add_done_callback(self._acts.discard)
+        return task
 
     def _check_strays(self, worker: Worker, strays: list[RunReport]) -> None:
         """Acknowledge ends that are recorded already; look the other runs up."""
