--- a/hyssopweir/cell.py
+++ b/hyssopweir/cell.py
@@ -76,7 +76,9 @@
         self._orders = RunOrders(self.state)
         self._reports = RunReports(self.state, self._orders)
         self._scheduler = CellScheduler(self.state, self._orders)
-        self._upkeep = CellUpkeep(self.state, self._orders, owners.beat_key, keep_ms)
+        self._upkeep = CellUpkeep(
+            self.state, self._orders, self._scheduler, owners.beat_key, keep_ms
+        )
         self._lost = asyncio.Event()
         self._holds: dict[str, asyncio.Task[None]] = {}
         self._unlisted_ms: dict[str, Millis] = {}
--- a/hyssopweir/cell_scheduler.py
+++ b/hyssopweir/cell_scheduler.py
@@ -114,6 +114,22 @@
         if not left:
             self._state.unplaced.discard(job)
 
+    def place_copy(self, ref: TaskRef, avoided: str) -> None:
+        """Record another run of a task that may run twice, on another worker."""
+        found = self._state.find(ref)
+        if found is None or self._orders.is_closed:
+            return
+        progress, step, task = found
+        now_ms = self._state.now_ms()
+        loads = self._loads(now_ms).get(progress.workflow.service, [])
+        others = [load for load in loads if load.entry.worker_id != avoided]
+        load = choose_worker(ref, step, task, others, self._state.harm, now_ms)
+        if load is None:
+            return
+        started = self._begin(progress, ref, step, load, now_ms)
+        self._state.commits.mark(self._state.progress_key(ref.job))
+        self._orders.start_when_stored([started])
+
     def _begin(
         self,
         progress: WorkflowProgress,
--- a/hyssopweir/cell_upkeep.py
+++ b/hyssopweir/cell_upkeep.py
@@ -5,12 +5,14 @@
 from hyssopweir.agent_link import AgentLink
 from hyssopweir.agents import WorkerState
 from hyssopweir.cell_ownership import BEAT_INTERVAL_MS
+from hyssopweir.cell_scheduler import CellScheduler
 from hyssopweir.cell_state import CANCEL_SUFFIX, QUEUES_KEY, REQUESTS, CellState
 from hyssopweir.clock import Millis
 from hyssopweir.events import Event
 from hyssopweir.filler_pacing import FillerPacing
 from hyssopweir.row_store import RowKey
 from hyssopweir.run_orders import RunOrders
+from hyssopweir.stragglers import Pace, is_lagging, note_slowdowns, paces
 from hyssopweir.workflow_progress import Run, RunPhase
 from hyssopweir.workflows import Step
 
@@ -31,9 +33,15 @@
     """Look at all jobs and workers of a cell every ``TICK_MS``."""
 
     def __init__(
-        self, state: CellState, orders: RunOrders, beat_key: RowKey, keep_ms: Millis
+        self,
+        state: CellState,
+        orders: RunOrders,
+        scheduler: CellScheduler,
+        beat_key: RowKey,
+        keep_ms: Millis,
     ) -> None:
         self._state = state
+        self._scheduler = scheduler
         self._orders = orders
         self._beat_key = beat_key
         self._keep_ms = keep_ms + EXTRA_KEEP_MS
@@ -61,6 +69,7 @@
             self._load_ms = now_ms
             self._log_load()
         self._open_due()
+        self._look_at_paces(now_ms)
         for link in list(self._state.links.values()):
             self._pace_fillers(link, now_ms)
             if link.entry.state is WorkerState.LEAVING:
@@ -124,6 +133,35 @@
                 self._state.commits.mark(RowKey(REQUESTS, self._state.cell, key))
             self._state.commits.mark(self._state.progress_key(job))
 
+    def _look_at_paces(self, now_ms: Millis) -> None:
+        """Copy or move runs that lag behind the others of their step."""
+        told = []
+        for progress in self._state.jobs.values():
+            if progress.has_started and not progress.is_final():
+                told.extend(paces(progress, now_ms))
+        note_slowdowns((link.load for link in self._state.links.values()), told)
+        for pace in told:
+            if is_lagging(pace, now_ms):
+                self._overtake(pace)
+
+    def _overtake(self, pace: Pace) -> None:
+        run, step = pace.run, pace.step
+        link = self._state.links.get(run.worker)
+        found = self._state.find(run.ref.task)
+        if link is None or found is None or len(found[2].runs) > 1:
+            return
+        self._state.log.emit(
+            Event.TASK_LAGGING,
+            **run.ref.fields(),
+            worker=run.worker,
+            expected_ms=int(pace.expected_ms),
+            typical_ms=int(pace.typical_ms),
+        )
+        if step.may_run_twice:
+            self._scheduler.place_copy(run.ref.task, run.worker)
+        elif step.checkpoints and not step.is_gang:
+            self._orders.stop(run, link, "lags behind the others of its step")
+
     def _pace_fillers(self, link: AgentLink, now_ms: Millis) -> None:
         if not link.load.fillers:
             return
--- a/hyssopweir/events.py
+++ b/hyssopweir/events.py
@@ -105,6 +105,7 @@
     QUOTA_REACHED = 530
     ORDER_REFUSED = 531
     RUN_UNKNOWN = 532
+    TASK_LAGGING = 533
 
     STORE_DOWN = 600
     STORE_UP = 601
--- a/hyssopweir/workflow_progress.py
+++ b/hyssopweir/workflow_progress.py
@@ -148,6 +148,8 @@
         self._opened = 0
         self._open: set[int] = set()
         self._left: dict[StepKey, int] = {}
+        # Durations of runs that were done, in ms.
+        self.done_ms: dict[StepKey, list[float]] = {}
 
     @property
     def state(self) -> WorkflowState:
@@ -219,6 +221,18 @@
             if self._left[key] and self.is_open_step(key)
         ]
 
+    def steps_at_work(self) -> list[tuple[StepKey, Step]]:
+        """Return the steps that may have runs."""
+        return [
+            (key, self.workflow.steps[key[1]])
+            for key in self.open_steps()
+            if not self.is_final()
+        ]
+
+    def step_runs(self, key: StepKey) -> list[Run]:
+        """Return the runs of a step that are not over."""
+        return [run for task in self.tasks[key] for run in task.runs.values()]
+
     def left_work(self) -> int:
         """Return the estimated work of tasks that are not done; 0 if it never ends."""
         return sum(
@@ -263,6 +277,9 @@
             task.saved = saved
         if how is RunEnd.DONE:
             self._done(ref.task, task)
+            if run is not None:
+                key = (ref.task.occurrence, ref.task.step)
+                self.done_ms.setdefault(key, []).append(now_ms - run.since_ms)
         elif how is RunEnd.FAILED and run is not None:
             self._note_failure(ref.task, task, run)
         if self.is_final() and not self.finished_ms:
--- a/tests/test_step_placement.py
+++ b/tests/test_step_placement.py
@@ -7,6 +7,7 @@
 from hyssopweir.filler_pacing import FillerPacing
 from hyssopweir.room import Room
 from hyssopweir.step_placement import choose_worker
+from hyssopweir.stragglers import is_lagging, note_slowdowns, paces
 from hyssopweir.worker_load import WorkerLoad
 from hyssopweir.workflow_progress import (
     Run,
@@ -163,3 +164,49 @@
     ordered = sorted(jobs, key=lambda progress: urgency(progress, 10_200))
     names = [progress.workflow.job for progress in ordered]
     assert names == ["urgent", "small", "large", "late"]
+
+
+def build_progress(percents: list[int], **fields: object) -> WorkflowProgress:
+    """Return a job whose runs, one on each worker, started 1 s ago."""
+    step = build_step(len(percents), estimated_ms=1_000, **fields)
+    progress = WorkflowProgress(build_workflow("j1", step))
+    progress.open_due(0)
+    for number, percent in enumerate(percents):
+        run = progress.begin(TaskRef("j1", 0, 0, number), f"w{number}", 0, 0)
+        run.phase, run.percent = RunPhase.RUNNING, percent
+    return progress
+
+
+@pytest.mark.parametrize(
+    ("percents", "lagging"),
+    [
+        ([50, 55, 45, 48], []),
+        ([50, 55, 45, 8], ["w3"]),
+        ([8], ["w0"]),
+        ([40], []),
+        ([50, 55, 45, 2], []),
+    ],
+)
+def test_run_lags_behind_the_others_of_its_step(
+    percents: list[int], lagging: list[str]
+) -> None:
+    """Answers workers that turn several times slower, with estimates that are off."""
+    told = paces(build_progress(percents), 1_000)
+    found = [pace.run.worker for pace in told if is_lagging(pace, 1_000)]
+    assert found == lagging
+
+
+def test_slow_worker_is_left_for_others() -> None:
+    """Answers workers that turn slow: new tasks go elsewhere until that is over."""
+    slow, sound = build_load(1), build_load(0)
+    add(sound, build_step(1, room=Room(3_000, 0)), 0)
+    for _ in range(10):
+        told = paces(build_progress([50, 8, 45]), 1_000)
+        note_slowdowns([slow, sound], told)
+    step = build_step(1)
+    chosen = choose_worker(REF, step, Task(), [slow, sound], FillerHarm(), 0)
+    assert chosen is sound
+    for _ in range(150):
+        note_slowdowns([slow], [])
+    chosen = choose_worker(REF, step, Task(), [slow, sound], FillerHarm(), 0)
+    assert chosen is slow
