--- a/hyssopweir/cell_ownership.py
+++ b/hyssopweir/cell_ownership.py
@@ -159,10 +159,15 @@
         write = Write(self.owner_key, self._encode(epoch, False), self._owner.version)
         reply = await self._store.transact([write], CALL_TIMEOUT_MS)
         if isinstance(reply, Ok) and isinstance(reply.ok_value, Committed):
-            version = reply.ok_value.version
+            version, former = reply.ok_value.version, self._owner
             self._owner = Owner(self._instance, self._life, epoch, False, version)
             self._log.emit(
-                Event.CELL_CLAIMED, cell=self._cell, epoch=epoch, silent_ms=silent_ms
+                Event.CELL_CLAIMED,
+                cell=self._cell,
+                epoch=epoch,
+                silent_ms=silent_ms,
+                former=former.instance,
+                was_released=former.is_released,
             )
             return True
         # An unanswered claim may have succeeded, or succeed later.
--- a/hyssopweir/platform/__main__.py
+++ b/hyssopweir/platform/__main__.py
@@ -7,9 +7,13 @@
 from result import Err
 
 from hyssopweir.clock import Clock
-from hyssopweir.log_lines import log_to_output
+from hyssopweir.log_lines import BoundedLines, log_to_output
 from hyssopweir.platform.instance import PlatformInstance
-from hyssopweir.platform.settings import load_platform_settings, settings_path
+from hyssopweir.platform.settings import (
+    PlatformSettings,
+    load_platform_settings,
+    settings_path,
+)
 
 
 def main() -> int:
@@ -23,12 +27,13 @@
     lines = log_to_output(settings.log_level, settings.lines_per_second)
     # Modules that are loaded never become garbage.
     gc.freeze()
-    asyncio.run(_run(PlatformInstance(settings, lines, Clock())))
+    asyncio.run(_run(settings, lines))
     return 0
 
 
-async def _run(instance: PlatformInstance) -> None:
-    await instance.run()
+async def _run(settings: PlatformSettings, lines: BoundedLines) -> None:
+    # The clock needs the running event loop.
+    await PlatformInstance(settings, lines, Clock()).run()
 
 
 if __name__ == "__main__":
--- a/hyssopweir/platform/instance.py
+++ b/hyssopweir/platform/instance.py
@@ -33,7 +33,8 @@
 from hyssopweir.workflow_desk import WorkflowDesk
 
 CELL = "c0"
-WATCH_MS: Millis = 700
+# Shorter than the silence after which the desk takes the store for away.
+WATCH_MS: Millis = 400
 READ_TIMEOUT_MS: Millis = 800
 RETRY_MS: Millis = 60
 # Without an answer of the store for that long, callers are better served elsewhere.
--- a/hyssopweir/row_commits.py
+++ b/hyssopweir/row_commits.py
@@ -53,7 +53,7 @@
 
     def note_timeout(self) -> None:
         """Wait longer for the next reply."""
-        self._typical_ms = min(self._typical_ms * 1.5, MOST_TIMEOUT_MS)
+        self._typical_ms = min(self._typical_ms * 2, MOST_TIMEOUT_MS)
 
 
 class RowCommits:
--- a/hyssopweir/workflow_desk.py
+++ b/hyssopweir/workflow_desk.py
@@ -30,8 +30,9 @@
 # An uncertain write is repeated that long before the caller is told so.
 SETTLE_MS: Millis = 700
 READ_MS: Millis = 1_500
-# While the store was away that lately, and has not answered since, nothing is tried.
-AWAY_MS: Millis = 1_000
+# Without any answer for that long the store is away: nothing is tried, and callers are
+# refused. The watch of the configuration is answered more often than that.
+AWAY_MS: Millis = 900
 # Time that an answer needs to reach the caller before its deadline.
 ANSWER_MARGIN_MS: Millis = 200
 LEAST_PATIENCE_MS: Millis = 50
@@ -46,12 +47,23 @@
         self._clock = clock
         self._log = log
         self._timer = ReplyTimer()
-        self.is_store_up = True
-        self._away_ms: Millis = 0
+        self._is_up = True
+        self._answered_ms = clock.now_ms()
 
     def note_answer(self) -> None:
         """Note that the store answers this instance."""
-        self._note_store(True)
+        self._answered_ms = self._clock.now_ms()
+        if not self._is_up:
+            self._is_up = True
+            self._log.emit(Event.STORE_UP)
+
+    def is_store_up(self) -> bool:
+        """Tell whether the store has answered this instance lately."""
+        silent_ms = self._clock.now_ms() - self._answered_ms
+        if silent_ms >= AWAY_MS and self._is_up:
+            self._is_up = False
+            self._log.emit(Event.STORE_DOWN, silent_ms=silent_ms)
+        return self._is_up
 
     async def submit(
         self, workflow: Workflow, patience_ms: Millis
@@ -100,7 +112,7 @@
         started_ms = self._clock.now_ms()
         is_uncertain = False
         patience_ms = max(patience_ms - ANSWER_MARGIN_MS, LEAST_PATIENCE_MS)
-        if not self.is_store_up and started_ms - self._away_ms < AWAY_MS:
+        if not self.is_store_up():
             detail = "the store does not answer this instance"
             return Err(not_run(Code.STORE_UNAVAILABLE, detail))
         while True:
@@ -111,7 +123,7 @@
             now_ms = self._clock.now_ms()
             if isinstance(reply, Ok):
                 self._timer.note(now_ms - sent_ms)
-                self._note_store(True)
+                self.note_answer()
                 return reply
             if reply.err_value.code is Code.STORE_OUTCOME_UNKNOWN:
                 is_uncertain = True
@@ -120,7 +132,6 @@
                 return reply
             limit_ms = min(SETTLE_MS if is_uncertain else REFUSAL_MS, patience_ms)
             if now_ms - started_ms >= limit_ms:
-                self._note_store(False)
                 return self._give_up(is_uncertain, reply.err_value)
             await self._clock.sleep_ms(RETRY_MS)
 
@@ -146,7 +157,6 @@
             if isinstance(progress, Ok) and isinstance(requests, Ok):
                 return Ok(self._state(job, progress.ok_value, requests.ok_value))
             if self._clock.now_ms() >= limit_ms:
-                self._note_store(False)
                 return Err(unknown(Code.STORE_UNAVAILABLE, "the job can't be read"))
             await self._clock.sleep_ms(RETRY_MS)
 
@@ -184,17 +194,10 @@
         reply = await self._store.read_rows(table, self._cell, start, end, timeout_ms)
         if isinstance(reply, Ok):
             self._timer.note(self._clock.now_ms() - sent_ms)
-            self._note_store(True)
+            self.note_answer()
         elif reply.err_value.code is Code.STORE_OUTCOME_UNKNOWN:
             self._timer.note_timeout()
         return reply
 
     def _request_key(self, key: str) -> RowKey:
         return RowKey(REQUESTS, self._cell, key)
-
-    def _note_store(self, is_up: bool) -> None:
-        if not is_up:
-            self._away_ms = self._clock.now_ms()
-        if is_up != self.is_store_up:
-            self.is_store_up = is_up
-            self._log.emit(Event.STORE_UP if is_up else Event.STORE_DOWN)
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -2,7 +2,11 @@
 
 import asyncio
 import json
+import os
+import signal
 import socket
+import subprocess
+import sys
 from typing import Any
 
 import aiohttp
@@ -368,3 +372,46 @@
                 assert (await reply.json())["name"] == "BAD_REQUEST"
 
     asyncio.run(asyncio.wait_for(play(), 30))
+
+
+def test_program_starts_and_stops(tmp_path: Any) -> None:
+    """Guards against a program that fails outside the parts that other tests build."""
+    callers, readiness, metrics, store = free_ports(4)
+    path = tmp_path / "settings.json"
+    data = {
+        "instance": "edge-1",
+        "data_centre": "depot-north",
+        "callers": f"{HOST}:{callers}",
+        "readiness": f"{HOST}:{readiness}",
+        "metrics_port": metrics,
+        "store": f"{HOST}:{store}",
+        "keep_s": 120,
+        "stop_limit_s": 1,
+    }
+    path.write_text(json.dumps(data))
+    program = subprocess.Popen(
+        [sys.executable, "-m", "hyssopweir.platform"],
+        env={**os.environ, "HYSSOPWEIR_NODE_FILE": str(path)},
+        stdout=subprocess.PIPE,
+    )
+    assert program.stdout is not None
+    assert b"INSTANCE_STARTED" in program.stdout.readline()
+    program.send_signal(signal.SIGHUP)
+    assert b"SETTINGS_RELOADED" in program.stdout.readline()
+    program.terminate()
+    rest = program.stdout.read()
+    assert program.wait(timeout=10) == 0
+    assert b"INSTANCE_STOPPED" in rest
+
+
+def test_program_names_every_fault_of_its_settings(tmp_path: Any) -> None:
+    path = tmp_path / "settings.json"
+    path.write_text("{}")
+    program = subprocess.run(
+        [sys.executable, "-m", "hyssopweir.platform"],
+        env={**os.environ, "HYSSOPWEIR_NODE_FILE": str(path)},
+        capture_output=True,
+        check=False,
+    )
+    assert program.returncode == Code.SETTINGS_INVALID
+    assert program.stderr.count(b"SETTINGS_INVALID") == 8
