--- a/hyssopweir/cli.py
+++ b/hyssopweir/cli.py
@@ -40,6 +40,15 @@
     run_to_end(run_instance(loaded.ok_value))
 
 
+@main.command()
+@click.argument("settings", type=file_path, metavar="SETTINGS")
+def platform(settings: Path) -> None:
+    """Run an instance on the users' platform with the settings file SETTINGS."""
+    from hyssopweir.platform.__main__ import main as run_platform
+
+    raise SystemExit(run_platform(settings))
+
+
 @main.command()
 @click.argument(
     "settings", type=file_path, nargs=-1, required=True, metavar="SETTINGS..."
--- a/hyssopweir/platform/__main__.py
+++ b/hyssopweir/platform/__main__.py
@@ -3,6 +3,7 @@
 import asyncio
 import gc
 import sys
+from pathlib import Path
 
 from result import Err
 
@@ -16,9 +17,9 @@
 )
 
 
-def main() -> int:
+def main(path: Path) -> int:
     """Return the exit status: 0 after a planned stop, else the number of a fault."""
-    loaded = load_platform_settings(settings_path())
+    loaded = load_platform_settings(path)
     if isinstance(loaded, Err):
         for fault in loaded.err_value:
             print(fault, file=sys.stderr)
@@ -37,4 +38,4 @@
 
 
 if __name__ == "__main__":
-    raise SystemExit(main())
+    raise SystemExit(main(settings_path()))
