--- a/hyssopweir/cell_scheduler.py
+++ b/hyssopweir/cell_scheduler.py
@@ -18,6 +18,8 @@
 MOST_REFUSED = 24
 
 
+# Sorts jobs that never end behind all others.
+MOST_WORK = 1 << 60
 # Bounds the processor time of passes while tasks wait that do not fit.
 PASS_PAUSE_MS: Millis = 20
 
@@ -158,7 +160,8 @@
     """Return the sort key of a job; the least comes first.
 
     Under overload, jobs that can still be done in time go before those that can't, and
-    those with the least work left first, so that most of them are done in time.
+    those with the least work left first, so that most of them are done in time. Tasks
+    that last keep the room that they get, so that they come after those.
     """
     workflow = progress.workflow
     objective_ms = workflow.objective_ms()
@@ -168,7 +171,7 @@
         left_ms = workflow_left_ms(progress)
         lateness += wall_ms + left_ms > deadline_ms
         lateness += wall_ms + left_ms > deadline_ms + 2 * objective_ms
-    work = progress.left_work()
+    work = progress.left_work() or MOST_WORK
     return workflow.priority, lateness, work, deadline_ms, workflow.job
 
 
--- a/hyssopweir/cell_upkeep.py
+++ b/hyssopweir/cell_upkeep.py
@@ -138,7 +138,7 @@
         told = []
         for progress in self._state.jobs.values():
             if progress.has_started and not progress.is_final():
-                told.extend(paces(progress, now_ms))
+                told.extend(paces(progress))
         note_slowdowns((link.load for link in self._state.links.values()), told)
         for pace in told:
             if is_lagging(pace, now_ms):
@@ -150,6 +150,9 @@
         found = self._state.find(run.ref.task)
         if link is None or found is None or len(found[2].runs) > 1:
             return
+        is_moved = step.checkpoints and not step.is_gang
+        if not step.may_run_twice and not is_moved:
+            return
         self._state.log.emit(
             Event.TASK_LAGGING,
             **run.ref.fields(),
@@ -159,7 +162,7 @@
         )
         if step.may_run_twice:
             self._scheduler.place_copy(run.ref.task, run.worker)
-        elif step.checkpoints and not step.is_gang:
+        else:
             self._orders.stop(run, link, "lags behind the others of its step")
 
     def _pace_fillers(self, link: AgentLink, now_ms: Millis) -> None:
--- a/hyssopweir/run_reports.py
+++ b/hyssopweir/run_reports.py
@@ -80,6 +80,7 @@
         now_ms = self._state.now_ms()
         if report.percent != run.percent:
             run.moved_ms = now_ms
+        run.reported_ms = now_ms
         run.percent, run.figure, run.born_ms = report.percent, report.figure, born_ms
         found = self._state.find(report.ref.task)
         if found is None:
--- a/hyssopweir/stragglers.py
+++ b/hyssopweir/stragglers.py
@@ -44,14 +44,14 @@
         return self.expected_ms / max(self.typical_ms, 1.0)
 
 
-def paces(progress: WorkflowProgress, now_ms: Millis) -> list[Pace]:
+def paces(progress: WorkflowProgress) -> list[Pace]:
     """Return the pace of each run of a job that can be told."""
     result = []
     for key, step in progress.steps_at_work():
         # A filler is slow where the tasks beside it leave it little.
         if step.is_endless or step.is_filler:
             continue
-        expected = {run: _expected_ms(run, now_ms) for run in progress.step_runs(key)}
+        expected = {run: _expected_ms(run) for run in progress.step_runs(key)}
         done = progress.done_ms.get(key, [])
         for run, total_ms in expected.items():
             if total_ms is None:
@@ -68,9 +68,10 @@
     return step.estimated_ms * ESTIMATE_FACTOR / LAGGING_FACTOR
 
 
-def _expected_ms(run: Run, now_ms: Millis) -> float | None:
+def _expected_ms(run: Run) -> float | None:
     """Return the duration that the progress of a run suggests, None if too early."""
-    elapsed_ms = now_ms - run.since_ms
+    # The percentage is as old as the report.
+    elapsed_ms = run.reported_ms - run.since_ms
     is_told = run.phase is RunPhase.RUNNING and run.percent >= LEAST_PERCENT
     if not is_told or elapsed_ms < LEAST_ELAPSED_MS:
         return None
--- a/hyssopweir/workflow_progress.py
+++ b/hyssopweir/workflow_progress.py
@@ -87,6 +87,7 @@
         "pace",
         "since_ms",
         "moved_ms",
+        "reported_ms",
         "changed_ms",
         "settled_ms",
         "is_closed",
@@ -102,10 +103,11 @@
         self.figure = 0.0
         self.pace = 100
         self.since_ms = now_ms
-        # When its speed was last set, when the percentage last rose, and when the
-        # order was last answered.
+        # When its speed was last set, when the percentage last rose, when it was last
+        # reported, and when the order was last answered.
         self.changed_ms = now_ms
         self.moved_ms = now_ms
+        self.reported_ms = now_ms
         self.settled_ms = now_ms
         # No order that starts the run can be carried out any more.
         self.is_closed = False
--- a/tests/test_step_placement.py
+++ b/tests/test_step_placement.py
@@ -155,15 +155,16 @@
     large = build_workflow("large", build_step(9), accepted_ms=9_000)
     late = build_workflow("late", build_step(1), accepted_ms=5_000)
     urgent = build_workflow("urgent", build_step(9), accepted_ms=9_900, priority=0)
+    watch = build_workflow("watch", build_step(2, is_endless=True), accepted_ms=9_000)
     jobs = []
-    for workflow in (late, large, small, urgent):
+    for workflow in (watch, late, large, small, urgent):
         priority = workflow.priority if workflow is urgent else 2
         progress = WorkflowProgress(workflow._replace(priority=priority))
         progress.open_due(0)
         jobs.append(progress)
     ordered = sorted(jobs, key=lambda progress: urgency(progress, 10_200))
     names = [progress.workflow.job for progress in ordered]
-    assert names == ["urgent", "small", "large", "late"]
+    assert names == ["urgent", "small", "large", "watch", "late"]
 
 
 def build_progress(percents: list[int], **fields: object) -> WorkflowProgress:
@@ -173,7 +174,7 @@
     progress.open_due(0)
     for number, percent in enumerate(percents):
         run = progress.begin(TaskRef("j1", 0, 0, number), f"w{number}", 0, 0)
-        run.phase, run.percent = RunPhase.RUNNING, percent
+        run.phase, run.percent, run.reported_ms = RunPhase.RUNNING, percent, 1_000
     return progress
 
 
@@ -191,17 +192,23 @@
     percents: list[int], lagging: list[str]
 ) -> None:
     """Answers workers that turn several times slower, with estimates that are off."""
-    told = paces(build_progress(percents), 1_000)
+    told = paces(build_progress(percents))
     found = [pace.run.worker for pace in told if is_lagging(pace, 1_000)]
     assert found == lagging
 
 
+def test_age_of_a_report_is_no_lag() -> None:
+    """Guards against copies of runs whose last report is old, not low."""
+    told = paces(build_progress([50, 55, 45, 48]))
+    assert not any(is_lagging(pace, 1_700) for pace in told)
+
+
 def test_slow_worker_is_left_for_others() -> None:
     """Answers workers that turn slow: new tasks go elsewhere until that is over."""
     slow, sound = build_load(1), build_load(0)
     add(sound, build_step(1, room=Room(3_000, 0)), 0)
     for _ in range(10):
-        told = paces(build_progress([50, 8, 45]), 1_000)
+        told = paces(build_progress([50, 8, 45]))
         note_slowdowns([slow, sound], told)
     step = build_step(1)
     chosen = choose_worker(REF, step, Task(), [slow, sound], FillerHarm(), 0)
