Take unlisted workers for gone when a former owner's leases have ended

An entry that is still missing after the store's return stands for a worker that is gone; leases that former owners granted end 4.8 s after it is missed. Ruled out: the worker's link (it never had one). Test: test_task_of_a_lost_worker_returns_after_takeovers failed before.

--- a/hyssopweir/agent_link.py
+++ b/hyssopweir/agent_link.py
@@ -22,6 +22,9 @@
 # The longest lease that a worker grants, on its slow clock: a former owner that nobody
 # has fenced there may have renewed until it was superseded.
 UNKNOWN_LEASE_MS: Millis = int(10_000 / SLOWEST_CLOCK) + 200
+# A worker that is not listed any more counts as gone when the leases that a former
+# owner had granted have ended.
+UNLISTED_LEASE_MS: Millis = int(FORMER_LEASE_MS / SLOWEST_CLOCK) + 200
 HOLD_WAIT_MS: Millis = 700
 HOLD_TIMEOUT_MS: Millis = 600
 ORDER_TIMEOUT_MS: Millis = 600
--- a/hyssopweir/cell.py
+++ b/hyssopweir/cell.py
@@ -6,7 +6,7 @@
 
 from result import Err, Result
 
-from hyssopweir.agent_link import UNKNOWN_LEASE_MS, AgentLink
+from hyssopweir.agent_link import UNLISTED_LEASE_MS, AgentLink
 from hyssopweir.agents import Agent, WorkerEntry
 from hyssopweir.cell_ownership import CellOwnership, Ownership, encode_beat
 from hyssopweir.cell_scheduler import CellScheduler
@@ -273,14 +273,18 @@
     def _lapse_unknown(
         self, entries: Mapping[str, WorkerEntry], now_ms: Millis
     ) -> None:
-        """End runs on workers that were never heard of since the cell was acquired."""
-        unknown: dict[str, list[WorkflowProgress]] = {}
-        for progress in self.state.jobs.values():
-            for run in progress.runs():
-                if run.worker not in self.state.links and run.worker not in entries:
-                    unknown.setdefault(run.worker, []).append(progress)
+        """End runs on unlisted workers that this owner has never heard."""
+        unknown = {
+            run.worker
+            for progress in self.state.jobs.values()
+            for run in progress.runs()
+            if run.worker not in entries and not self._was_heard(run.worker)
+        }
         for worker_id in unknown:
             since_ms = self._unlisted_ms.setdefault(worker_id, now_ms)
-            if now_ms - since_ms > UNKNOWN_LEASE_MS:
+            if now_ms - since_ms > UNLISTED_LEASE_MS:
                 self._reports.lapse_unlisted(worker_id)
-                self._unlisted_ms.pop(worker_id, None)
+
+    def _was_heard(self, worker_id: str) -> bool:
+        link = self.state.links.get(worker_id)
+        return link is not None and link.load.is_confirmed
--- a/tests/agent_fakes.py
+++ b/tests/agent_fakes.py
@@ -65,6 +65,7 @@
         self._clock = clock
         self._work = work
         self.is_cut = False
+        self.is_listed = True
         self.late_share = 0.0
         self.fails_all = False
         self.lives = 0
--- a/tests/cell_world.py
+++ b/tests/cell_world.py
@@ -64,7 +64,9 @@
 
     async def refresh(self) -> Result[Mapping[str, WorkerEntry], Failure]:
         await self._clock.sleep_ms(LISTING_MS)
-        return Ok({name: fake.entry for name, fake in self._workers.items()})
+        return Ok(
+            {name: fake.entry for name, fake in self._workers.items() if fake.is_listed}
+        )
 
 
 class FakeInstance:
--- a/tests/test_cell.py
+++ b/tests/test_cell.py
@@ -336,3 +336,30 @@
         assert not any(worker.running for worker in world.workers.values())
 
     run_virtual(play())
+
+
+@pytest.mark.parametrize("takeovers", [1, 2])
+def test_task_of_a_lost_worker_returns_after_takeovers(takeovers: int) -> None:
+    """Guards against a wait for leases that begins anew with each owner.
+
+    Found by crash-while-store-down, seed 1077035833500, on gastabud-offert: a task that
+    lasts was away for 27 s.
+    """
+
+    async def play() -> None:
+        world = CellWorld(workers=2)
+        await world.sleep_ms(500)
+        assert await world.submit(build_workflow("j1", build_step(1, is_endless=True)))
+        await world.sleep_ms(500)
+        task = TaskRef("j1", 0, 0, 0)
+        (first,) = world.work.live[task]
+        world.workers[first].is_cut = True
+        world.workers[first].is_listed = False
+        for _ in range(takeovers):
+            await world.owner().crash()
+            await world.sleep_ms(2_000)
+        await world.sleep_ms(5_500)
+        assert world.work.live[task] - {first}
+        assert world.work.breaches == []
+
+    run_virtual(play())
