Keep decisions out of the adapter; refuse fields of the wrong type

Cause: readiness, the end of a planned stop and the watch of the configuration were decided in the platform's folder; a step that is no object gave an answer 500 without a numbered error, and a label that is no text made a job that no worker could take. Measured: tests only; the bodies failed before.

--- a/hyssopweir/platform/instance.py
+++ b/hyssopweir/platform/instance.py
@@ -10,7 +10,8 @@
 
 from hyssopweir.cell_host import CellHost
 from hyssopweir.clock import Clock, Millis
-from hyssopweir.codes import Code
+from hyssopweir.configuration_watch import ConfigurationWatch
+from hyssopweir.entry_duty import is_ready, may_end
 from hyssopweir.events import Event, EventLog
 from hyssopweir.log_lines import BoundedLines
 from hyssopweir.platform.frontend import Frontend, serve_http
@@ -28,19 +29,10 @@
 )
 from hyssopweir.platform.worker_calls import HttpAgent, HttpWorkerListing
 from hyssopweir.queue_policies import QueueTable
-from hyssopweir.row_store import StoredRow, read_all
 from hyssopweir.text_metrics import CONTENT_TYPE, TextMetrics
 from hyssopweir.workflow_desk import WorkflowDesk
 
 CELL = "c0"
-# Shorter than the silence after which the desk takes the store for away.
-WATCH_MS: Millis = 400
-READ_TIMEOUT_MS: Millis = 800
-RETRY_MS: Millis = 60
-# Without an answer of the store for that long, callers are better served elsewhere.
-STORE_SILENCE_MS: Millis = 2_500
-# The load balancer asks once a second and needs two refusals.
-UNREADY_MS: Millis = 2_300
 RELEASE_MS: Millis = 1_500
 DRAIN_TICK_MS: Millis = 50
 
@@ -60,7 +52,6 @@
         self._log.subscribe(self._metrics.take)
         self._calls = HttpCalls()
         store = HttpRowStore(self._calls, settings.store)
-        self._store = store
         self._queues = QueueTable()
         self._desk = WorkflowDesk(CELL, store, clock, self._log)
         self._frontend = Frontend(self._queues, self._desk, clock, self._log)
@@ -75,8 +66,16 @@
             clock,
             self._log,
         )
-        self._store_ms: Millis = 0
-        self._version = 0
+        self._watch = ConfigurationWatch(
+            OPERATOR_TABLE,
+            CONFIGURATION_KEY,
+            configuration_of,
+            self._queues,
+            store,
+            self._desk.note_answer,
+            clock,
+            self._log,
+        )
         self._stop_wanted = asyncio.Event()
         self._runners: list[web.ServerRunner] = []
 
@@ -91,7 +90,7 @@
             (self._show_metrics, self._settings.metrics),
         ):
             self._runners.append(await serve_http(handler, address))
-        self.add_future(self._watch_configuration())
+        self.add_future(self._watch.run())
         self.add_future(self._host.run())
         self._log.emit(Event.INSTANCE_STARTED)
 
@@ -128,19 +127,18 @@
         self._frontend.is_stopping = True
         started_ms = self._clock.now_ms()
         await self._host.release(RELEASE_MS)
-        limit_ms = started_ms + self._settings.stop_limit_ms * 3 // 4
-        while self._clock.now_ms() < limit_ms:
-            is_unready = self._clock.now_ms() >= started_ms + UNREADY_MS
-            if is_unready and not self._frontend.in_progress:
-                break
+        while not may_end(
+            self._clock.now_ms() - started_ms,
+            self._settings.stop_limit_ms,
+            self._frontend.in_progress,
+        ):
             await self._clock.sleep_ms(DRAIN_TICK_MS)
 
     def _is_ready(self) -> bool:
-        silent_ms = self._clock.now_ms() - self._store_ms
-        return (
-            self._queues.version > 0
-            and not self._frontend.is_stopping
-            and silent_ms < STORE_SILENCE_MS
+        return is_ready(
+            self._queues.version,
+            self._frontend.is_stopping,
+            self._desk.store_silent_ms(),
         )
 
     async def _show_readiness(self, _: web.BaseRequest) -> web.StreamResponse:
@@ -149,40 +147,3 @@
     async def _show_metrics(self, _: web.BaseRequest) -> web.StreamResponse:
         text = self._metrics.text(self._lines.dropped)
         return web.Response(body=text, headers={"Content-Type": CONTENT_TYPE})
-
-    async def _watch_configuration(self) -> None:
-        while True:
-            page = await read_all(self._store, OPERATOR_TABLE, "", READ_TIMEOUT_MS)
-            if isinstance(page, Err):
-                await self._clock.sleep_ms(RETRY_MS)
-                continue
-            self._take_rows(page.ok_value.rows, page.ok_value.version)
-            await self._follow_configuration()
-
-    async def _follow_configuration(self) -> None:
-        """Take changes until some of them are no longer known."""
-        while True:
-            changes = await self._store.watch(
-                OPERATOR_TABLE, self._version, WATCH_MS, WATCH_MS + READ_TIMEOUT_MS
-            )
-            if isinstance(changes, Err):
-                if changes.err_value.code is Code.STORE_HISTORY_LOST:
-                    return
-                await self._clock.sleep_ms(RETRY_MS)
-                continue
-            self._take_rows(changes.ok_value.rows, changes.ok_value.version)
-
-    def _take_rows(self, rows: list[StoredRow], version: int) -> None:
-        self._store_ms = self._clock.now_ms()
-        self._desk.note_answer()
-        self._version = version
-        for row in rows:
-            if row.at.key != CONFIGURATION_KEY or row.is_deleted:
-                continue
-            try:
-                cfg = configuration_of(row.value)
-            except (KeyError, TypeError, ValueError) as exc:
-                self._log.emit(Event.CONFIGURATION_UNREADABLE, error=repr(exc))
-                continue
-            if self._queues.take(cfg):
-                self._log.emit(Event.CONFIGURATION_IN_FORCE, version=cfg.version)
--- a/hyssopweir/platform/job_bodies.py
+++ b/hyssopweir/platform/job_bodies.py
@@ -42,7 +42,9 @@
     )
 
 
-def _step_of(number: int, phase: dict[str, Any]) -> Step:
+def _step_of(number: int, phase: Any) -> Step:
+    if not isinstance(phase, dict):
+        raise TypeError(f"step {number} is no object")
     after = tuple(int(earlier) for earlier in phase.get("after") or ())
     if any(not 0 <= earlier < number for earlier in after):
         raise ValueError(f"step {number} comes after a step that is not earlier")
@@ -58,13 +60,13 @@
         is_gang=bool(phase.get("gang")),
         prefers_one_rack=bool(phase.get("sameRack")),
         # A single label of a worker, although the name is in the plural.
-        label=phase.get("requirements") or "",
-        home_rack=phase.get("affinity") or "",
+        label=_text(phase, "requirements"),
+        home_rack=_text(phase, "affinity"),
         # The most tasks of the step on one worker.
         most_per_worker=_count(phase, "antiAffinity"),
         may_run_twice=bool(phase.get("speculative")),
         is_endless=bool(phase.get("longRunning")),
-        image=phase.get("image") or "",
+        image=_text(phase, "image"),
         tail_target_ms=_count(phase, "targetMs"),
         # A flag: the processors of the step are not counted.
         is_filler=bool(phase.get("fillCount")),
@@ -72,6 +74,13 @@
     )
 
 
+def _text(data: dict[str, Any], name: str) -> str:
+    value = data.get(name) or ""
+    if not isinstance(value, str):
+        raise TypeError(f"{name} is no text")
+    return value
+
+
 def _count(data: dict[str, Any], name: str) -> int:
     value = data.get(name) or 0
     if isinstance(value, bool) or not isinstance(value, (int, float)) or value < 0:
--- a/hyssopweir/platform/operator_rows.py
+++ b/hyssopweir/platform/operator_rows.py
@@ -12,6 +12,8 @@
 def configuration_of(value: bytes) -> QueueConfiguration:
     """Return the configuration; raise ``ValueError``, ``KeyError`` or ``TypeError``."""
     data = json.loads(value)
+    if not isinstance(data, dict):
+        raise TypeError("the configuration is no object")
     limits = data.get("limits", {})
     return QueueConfiguration(
         int(data["version"]),
--- a/hyssopweir/run_orders.py
+++ b/hyssopweir/run_orders.py
@@ -50,7 +50,7 @@
             task.cancel()
 
     async def drain(self, limit_ms: Millis) -> None:
-        """Place nothing more, and wait for the answers to what was sent."""
+        """Start nothing more, and wait for the answers to what was sent."""
         self.is_closed = True
         if self._tasks:
             await asyncio.wait(self._tasks, timeout=limit_ms / 1_000)
--- a/hyssopweir/workflow_desk.py
+++ b/hyssopweir/workflow_desk.py
@@ -57,9 +57,13 @@
             self._is_up = True
             self._log.emit(Event.STORE_UP)
 
+    def store_silent_ms(self) -> Millis:
+        """Return for how long the store has not answered this instance."""
+        return self._clock.now_ms() - self._answered_ms
+
     def is_store_up(self) -> bool:
         """Tell whether the store has answered this instance lately."""
-        silent_ms = self._clock.now_ms() - self._answered_ms
+        silent_ms = self.store_silent_ms()
         if silent_ms >= AWAY_MS and self._is_up:
             self._is_up = False
             self._log.emit(Event.STORE_DOWN, silent_ms=silent_ms)
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -268,6 +268,9 @@
         {"phases": [{"count": 1, "after": [0]}]},
         {"phases": [{"count": 10**6}]},
         {"spec": 5, "phases": [{"count": 1}]},
+        {"phases": [3]},
+        {"phases": [{"count": 1, "requirements": 5}]},
+        {"phases": [{"count": 1, "after": 0.5}]},
         {"spec": "x" * 4_001, "phases": [{"count": 1}]},
     ],
 )
