--- a/hyssopweir/cell.py
+++ b/hyssopweir/cell.py
@@ -200,7 +200,11 @@
 
     def _cancel(self, job: str) -> None:
         progress = self.state.jobs.get(job)
-        if progress is None or progress.is_final():
+        if progress is None:
+            # Refuses a submission that comes later; deleted like an ended job.
+            self.state.lone_cancels.setdefault(job, self._clock.now_ms())
+            return
+        if progress.is_final():
             return
         progress.cancel(self._clock.now_ms())
         self.state.changed(progress)
@@ -255,7 +259,6 @@
             return
         worker_id = link.entry.worker_id
         self._log.emit(Event.WORKER_GONE, worker=worker_id)
-        self.state.harm.forget(link.load)
         self._holds.pop(worker_id).cancel()
         del self.state.links[worker_id]
         self._unlisted_ms.pop(worker_id, None)
--- a/hyssopweir/cell_state.py
+++ b/hyssopweir/cell_state.py
@@ -41,6 +41,8 @@
         self.log = log
         self.jobs: dict[str, WorkflowProgress] = {}
         self.links: dict[str, AgentLink] = {}
+        # Cancellations of jobs that were never submitted, by the time they were seen.
+        self.lone_cancels: dict[str, Millis] = {}
         # Jobs that may have tasks to place.
         self.unplaced: set[str] = set()
         self.wake = asyncio.Event()
--- a/hyssopweir/cell_upkeep.py
+++ b/hyssopweir/cell_upkeep.py
@@ -129,9 +129,16 @@
         ]
         for job in old[:MOST_DELETED]:
             self._state.forget(job)
-            for key in (job, job + CANCEL_SUFFIX):
-                self._state.commits.mark(RowKey(REQUESTS, self._state.cell, key))
+            self._delete_request(job)
+            self._delete_request(job + CANCEL_SUFFIX)
             self._state.commits.mark(self._state.progress_key(job))
+        for job, seen_ms in list(self._state.lone_cancels.items())[:MOST_DELETED]:
+            if now_ms - seen_ms > self._keep_ms:
+                del self._state.lone_cancels[job]
+                self._delete_request(job + CANCEL_SUFFIX)
+
+    def _delete_request(self, key: str) -> None:
+        self._state.commits.mark(RowKey(REQUESTS, self._state.cell, key))
 
     def _look_at_paces(self, now_ms: Millis) -> None:
         """Copy or move runs that lag behind the others of their step."""
--- a/hyssopweir/filler_harm.py
+++ b/hyssopweir/filler_harm.py
@@ -57,7 +57,6 @@
         self._harm: dict[tuple[str, str], float] = {}
         self._least: dict[str, float] = {}
         self._peak: dict[str, float] = {}
-        self._readings: dict[object, Reading] = {}
 
     def note(self, load: WorkerLoad, now_ms: Millis) -> None:
         """Learn from the newest report of a worker, unless it has just changed."""
@@ -74,10 +73,9 @@
             self._least[step.image] = min(least, run.figure)
             reading = Reading(now_ms, self.use_of(run, step), mix)
             self._note_peak(step.image, self._alone(reading, step.image))
-            before = self._readings.get(run.ref)
-            self._readings[run.ref] = reading
-            if before is not None:
-                self._learn(step.image, before, reading)
+            if run.reading is not None:
+                self._learn(step.image, run.reading, reading)
+            run.reading = reading
 
     def _alone(self, reading: Reading, victim: str) -> float:
         """Return the use without the fillers of a reading."""
@@ -88,11 +86,6 @@
         peak = self._peak.get(image, alone)
         self._peak[image] = max(alone, peak - PEAK_FADING * (peak - alone))
 
-    def forget(self, load: WorkerLoad) -> None:
-        """Drop the readings of a worker that is gone."""
-        for ref in load.runs:
-            self._readings.pop(ref, None)
-
     def _learn(self, victim: str, before: Reading, after: Reading) -> None:
         if after.at_ms - before.at_ms > LONGEST_COMPARISON_MS:
             return
--- a/hyssopweir/workflow_progress.py
+++ b/hyssopweir/workflow_progress.py
@@ -91,6 +91,7 @@
         "changed_ms",
         "settled_ms",
         "is_closed",
+        "reading",
     )
 
     def __init__(self, ref: RunRef, worker: str, born_ms: Millis, now_ms: Millis):
@@ -111,6 +112,8 @@
         self.settled_ms = now_ms
         # No order that starts the run can be carried out any more.
         self.is_closed = False
+        # The newest tail of a task with a target, for ``filler_harm``.
+        self.reading: Any = None
 
 
 class Task:
--- a/tests/test_cell.py
+++ b/tests/test_cell.py
@@ -363,3 +363,24 @@
         assert world.work.breaches == []
 
     run_virtual(play())
+
+
+def test_rows_are_deleted_when_nobody_asks_for_them_any_more() -> None:
+    """Guards against a store that fills with ended jobs and lone cancellations."""
+
+    async def play() -> None:
+        world = CellWorld()
+        await world.sleep_ms(500)
+        for job in ("j1", "j2"):
+            assert await world.submit(build_workflow(job))
+        assert (await world.instances[0].desk.cancel("j2", 3_000)).is_ok()
+        assert (await world.instances[0].desk.cancel("j9", 3_000)).is_ok()
+        assert await world.until("j1", DONE, 5_000)
+        await world.sleep_ms(100_000)
+        assert await world.state("j1") is DONE
+        await world.sleep_ms(60_000)
+        left = {at.key for at in world.rows.rows}
+        assert left == {"owner", "beat", "!queues"}
+        assert await world.state("j1") is None
+
+    run_virtual(play())
