Use one stop for the runs of a job and for copies; drop a dead constant

Found in the read of the whole change: the loop that stops runs stood twice, the time that a tail takes to settle stood twice, each report was noted twice, and FINAL_STATES had no user. Behaviour stays as it is: a report is still noted before anything reads its tails. Ruled out: the worker's life, kept by the link and by the reports; the link has already taken the new one when the reports compare.

--- a/hyssopweir/agent_link.py
+++ b/hyssopweir/agent_link.py
@@ -140,7 +140,6 @@
         if self._reading is None:
             self._lease_until_ms = holding.clock_ms + FORMER_LEASE_MS
         self._reading = ClockReading(holding.clock_ms, now_ms)
-        self.load.note_report(now_ms)
         self._has_lapsed = False
         if self._is_silent:
             self._is_silent = False
--- a/hyssopweir/cell.py
+++ b/hyssopweir/cell.py
@@ -208,7 +208,7 @@
             return
         progress.cancel(self._clock.now_ms())
         self.state.changed(progress)
-        self._orders.stop_job(job, "job is cancelled")
+        self._orders.stop_all(progress.runs(), "job is cancelled")
 
     async def _watch_workers(self) -> None:
         while True:
--- a/hyssopweir/filler_pacing.py
+++ b/hyssopweir/filler_pacing.py
@@ -9,13 +9,11 @@
 from typing import NamedTuple
 
 from hyssopweir.clock import Millis
-from hyssopweir.filler_harm import FillerHarm, serving
+from hyssopweir.filler_harm import SETTLE_MS, FillerHarm, serving
 from hyssopweir.worker_load import WorkerLoad
 from hyssopweir.workflow_progress import Run, RunPhase
 from hyssopweir.workflows import Step
 
-# The tail that is reported covers half a second; an earlier change is not visible yet.
-SETTLE_MS: Millis = 650
 # Work of a filler without checkpoints that may be thrown away.
 SHORT_RUN_MS: Millis = 1_500
 # A filler that was stopped for that long is moved.
--- a/hyssopweir/run_orders.py
+++ b/hyssopweir/run_orders.py
@@ -1,7 +1,7 @@
 """Orders to workers, followed until it is certain what became of them."""
 
 import asyncio
-from collections.abc import Coroutine, Sequence
+from collections.abc import Coroutine, Iterable, Sequence
 from typing import Any
 
 from hyssopweir.agent_link import AgentLink
@@ -144,10 +144,9 @@
                 return
             await self._state.clock.sleep_ms(STOP_RETRY_MS)
 
-    def stop_job(self, job: str, reason: str) -> None:
-        """Stop all runs of a job."""
-        progress = self._state.jobs[job]
-        for run in list(progress.runs()):
+    def stop_all(self, runs: Iterable[Run], reason: str) -> None:
+        """Stop runs, wherever they are."""
+        for run in list(runs):
             link = self._state.links.get(run.worker)
             if link is not None:
                 self.stop(run, link, reason)
--- a/hyssopweir/run_reports.py
+++ b/hyssopweir/run_reports.py
@@ -129,15 +129,9 @@
         )
         self._state.changed(progress)
         if progress.is_final():
-            self._orders.stop_job(end.ref.task.job, "job has ended")
+            self._orders.stop_all(progress.runs(), "job has ended")
         elif task.is_done:
-            self._stop_copies(list(task.runs.values()))
-
-    def _stop_copies(self, runs: list[Run]) -> None:
-        for run in runs:
-            link = self._state.links.get(run.worker)
-            if link is not None:
-                self._orders.stop(run, link, "another copy is done")
+            self._orders.stop_all(task.runs.values(), "another copy is done")
 
     def _judge_worker(self, link: AgentLink, end: EndedRun, step: Step) -> None:
         if end.how is RunEnd.DONE:
--- a/hyssopweir/workflow_progress.py
+++ b/hyssopweir/workflow_progress.py
@@ -23,11 +23,6 @@
     CANCELLED = "cancelled"
 
 
-FINAL_STATES = frozenset(
-    {WorkflowState.COMPLETED, WorkflowState.FAILED, WorkflowState.CANCELLED}
-)
-
-
 class RunPhase(Enum):
     """Say what is known of a run that is not over."""
 
