Log cancellations that a cell reads, and transferred jobs that it receives

JOB_CANCEL_REQUESTED is logged by the instance that answers the caller; no line shows when the owner of either cell reads the cancellation, nor when a transferred job reaches its cell.

Change: events 509 JOB_CANCEL_READ, with what the cell knows of the job, and 534 JOB_RECEIVED.

--- a/hyssopweir/cell.py
+++ b/hyssopweir/cell.py
@@ -295,23 +295,38 @@
         except (ValueError, KeyError, TypeError) as exc:
             self._log.emit(Event.BAD_INPUT, row=key, error=repr(exc))
             return
+        if progress.workflow.home and key not in stored:
+            self._log.emit(
+                Event.JOB_RECEIVED,
+                job=key,
+                cell=self.state.cell,
+                home=progress.workflow.home,
+            )
         self.state.add(progress)
 
     def _cancel(self, job: str) -> None:
         if job in self.state.transferred:
+            self._log_cancellation(job, "transferred")
             self._transfers.cancel(job)
             return
         progress = self.state.jobs.get(job)
         if progress is None:
+            self._log_cancellation(job, "unknown")
             # The row rejects a later submission; it is deleted like an ended job.
             self.state.unmatched_cancels.setdefault(job, self._clock.now_ms())
             return
         if progress.is_final():
             return
+        self._log_cancellation(job, "running")
         progress.cancel(self._clock.now_ms())
         self.state.mark_changed(progress)
         self._commands.stop_all(progress.runs(), "job was cancelled")
 
+    def _log_cancellation(self, job: str, known_as: str) -> None:
+        self._log.emit(
+            Event.JOB_CANCEL_READ, job=job, cell=self.state.cell, known_as=known_as
+        )
+
     async def _watch_workers(self) -> None:
         while True:
             reply = await self._listing.refresh()
--- a/hyssopweir/events.py
+++ b/hyssopweir/events.py
@@ -85,6 +85,7 @@
     JOB_REFUSED = 506
     JOB_UNCERTAIN = 507
     JOB_MOVED = 508
+    JOB_CANCEL_READ = 509
     TASK_QUEUED = 510
     TASK_STARTING = 511
     TASK_STARTED = 512
@@ -109,6 +110,7 @@
     ORDER_REFUSED = 531
     RUN_UNKNOWN = 532
     TASK_LAGGING = 533
+    JOB_RECEIVED = 534
 
     STORE_DOWN = 600
     STORE_UP = 601
