--- a/tests/cell_simulation.py
+++ b/tests/cell_simulation.py
@@ -196,3 +196,24 @@
 
     def owner(self) -> FakeInstance:
         return next(instance for instance in self.instances if instance.owns)
+
+
+def job_ids_of_cell(cell: str, simulation: CellSimulation, count: int) -> list[str]:
+    """Return ids of jobs that hash to a cell."""
+    found = []
+    number = 0
+    while len(found) < count:
+        job = f"j{number}"
+        number += 1
+        if simulation.layout.cell_of_job(job) == cell:
+            found.append(job)
+    return found
+
+
+async def fill_first_cell(simulation: CellSimulation) -> None:
+    """Fill the first cell with endless tasks."""
+    await simulation.sleep_ms(1_500)
+    blocker = job_ids_of_cell("c0", simulation, 1)[0]
+    step = build_step(8, is_endless=True)
+    assert await simulation.submit(build_workflow(blocker, step))
+    await simulation.sleep_ms(300)
--- a/tests/test_cell_layout.py
+++ b/tests/test_cell_layout.py
@@ -29,6 +29,8 @@
     build_entry,
     build_step,
     build_workflow,
+    fill_first_cell,
+    job_ids_of_cell,
 )
 from tests.row_fakes import FakeRowStore, RowFaults
 from tests.virtual_time import run_virtual
@@ -191,27 +193,6 @@
     assert not detector.is_silent("c0")
 
 
-def job_ids_of_cell(cell: str, simulation: CellSimulation, count: int) -> list[str]:
-    """Return ids of jobs that hash to a cell."""
-    found = []
-    number = 0
-    while len(found) < count:
-        job = f"j{number}"
-        number += 1
-        if simulation.layout.cell_of_job(job) == cell:
-            found.append(job)
-    return found
-
-
-async def fill_first_cell(simulation: CellSimulation) -> None:
-    """Fill the first cell with endless tasks."""
-    await simulation.sleep_ms(1_500)
-    blocker = job_ids_of_cell("c0", simulation, 1)[0]
-    step = build_step(8, is_endless=True)
-    assert await simulation.submit(build_workflow(blocker, step))
-    await simulation.sleep_ms(300)
-
-
 def test_waiting_job_moves_to_a_cell_with_capacity() -> None:
     """Guards against jobs that keep waiting while another cell is idle."""
 
