Store a transferred job only if its cancellation is not stored yet

What callers see: a job is shown as cancelled, and its tasks start or run on in another cell (UNASKED). Endless tasks run on without end.

Cause: the transfer of a job and its cancellation are two writes to the other cell that are sent apart. The transfer waits until the row "moved" is stored and is repeated when its reply is lost; the cancellation waits for nothing. The other cell noted a cancellation that came first as unmatched, and added the job when it came. A new owner that resumed a transfer sent both in this order too.

Change: the transfer expects that there is no cancellation row, as a submission does. The state shown comes from the rows of the first cell, which name the cancellation.

--- a/hyssopweir/job_transfers.py
+++ b/hyssopweir/job_transfers.py
@@ -10,7 +10,7 @@
 import asyncio
 import json
 import zlib
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from typing import Any
 
 from result import Err, Ok
@@ -26,7 +26,16 @@
 )
 from hyssopweir.clock import Millis
 from hyssopweir.events import Event
-from hyssopweir.row_store import ABSENT, RowStore, StoredRow, Write
+from hyssopweir.row_store import (
+    ABSENT,
+    Change,
+    Committed,
+    Conflict,
+    Expect,
+    RowStore,
+    StoredRow,
+    Write,
+)
 from hyssopweir.workflow_progress import WorkflowProgress, WorkflowState
 from hyssopweir.workflows import decode_workflow, encode_workflow
 
@@ -190,20 +199,28 @@
         self, job: str, transfer: TransferredJob, stored: "asyncio.Future[None]"
     ) -> None:
         await stored
-        await self._write(transfer.cell, job, transfer.body)
+        request = request_key(transfer.cell, job)
+        cancel = request_key(transfer.cell, job + CANCEL_SUFFIX)
+        # A cancellation may reach the other cell first; the job must not start then.
+        changes = (Write(request, transfer.body, ABSENT), Expect(cancel, ABSENT))
+        outcome = await self._transact(changes)
+        if isinstance(outcome, Conflict) and request not in outcome.rows:
+            self._state.log.emit(
+                Event.JOB_TRANSFER_CANCELLED, job=job, cell=transfer.cell
+            )
         transfer.is_sent = True
         self._state.commits.mark(self._state.progress_key(job))
 
     async def _send_cancel(self, job: str, transfer: TransferredJob) -> None:
-        await self._write(transfer.cell, job + CANCEL_SUFFIX, b"{}")
+        cancel = request_key(transfer.cell, job + CANCEL_SUFFIX)
+        await self._transact((Write(cancel, b"{}", ABSENT),))
 
-    async def _write(self, cell: str, key: str, body: bytes) -> None:
-        """Write a request row of another cell, retrying until the store confirms it."""
-        write = Write(request_key(cell, key), body, ABSENT)
+    async def _transact(self, changes: Sequence[Change]) -> Committed | Conflict:
+        """Apply changes in another cell, retrying until the store replies."""
         while True:
-            reply = await self._store.transact([write], CALL_TIMEOUT_MS)
+            reply = await self._store.transact(changes, CALL_TIMEOUT_MS)
             if isinstance(reply, Ok):
-                return
+                return reply.ok_value
             await self._state.clock.sleep_ms(RETRY_MS)
 
     async def _delete_if_ended(self, job: str, transfer: TransferredJob) -> None:
