Restart failed endless tasks before other work takes their capacity

Cause: jobs with endless tasks are placed after all jobs that are on time, since they never release their capacity. That also held for a task that had a run and lost it. In a cell that is full, urgent work took the capacity that the failed run had released, as long as there was any.

Change: a job in which an endless task has lost its run is placed first, before the priority of queues: the task takes back what it had, and no other job gets less than before the failure.

--- a/hyssopweir/cell_scheduler.py
+++ b/hyssopweir/cell_scheduler.py
@@ -161,13 +161,14 @@
 
 def urgency_key(
     progress: WorkflowProgress, wall_ms: Millis
-) -> tuple[int, int, int, Millis, str]:
+) -> tuple[bool, int, int, int, Millis, str]:
     """Return the sort key of a job; jobs with lower keys are placed first.
 
     Under overload, jobs that can still meet their deadline go before those that can't,
     and the job with the least remaining work goes first, so that as many as possible
     meet their deadline. Endless tasks never release their capacity, so jobs with such
-    tasks go after those that are still on time.
+    tasks go after those that are still on time, unless one of them has lost its run:
+    the capacity that the run had is taken back before other work can use it.
     """
     workflow = progress.workflow
     objective_ms = workflow.objective_ms()
@@ -178,7 +179,14 @@
         lateness_level += wall_ms + time_left_ms > deadline_ms
         lateness_level += wall_ms + time_left_ms > deadline_ms + 2 * objective_ms
     remaining_work = progress.remaining_work() or UNBOUNDED_WORK
-    return workflow.priority, lateness_level, remaining_work, deadline_ms, workflow.job
+    return (
+        not progress.has_lost_endless_run(),
+        workflow.priority,
+        lateness_level,
+        remaining_work,
+        deadline_ms,
+        workflow.job,
+    )
 
 
 def remaining_time_ms(progress: WorkflowProgress) -> Millis:
--- a/hyssopweir/workflow_progress.py
+++ b/hyssopweir/workflow_progress.py
@@ -237,6 +237,15 @@
             if not self.is_final()
         ]
 
+    def has_lost_endless_run(self) -> bool:
+        """Return whether an endless task that has run before has no active run."""
+        return not self.is_final() and any(
+            not task.is_unstarted() and not task.is_done and not task.runs
+            for key in self.open_steps()
+            if self.workflow.steps[key[1]].is_endless
+            for task in self.tasks[key]
+        )
+
     def step_runs(self, key: StepKey) -> list[Run]:
         """Return the active runs of a step."""
         return [run for task in self.tasks[key] for run in task.runs.values()]
--- a/tests/agent_fakes.py
+++ b/tests/agent_fakes.py
@@ -111,6 +111,11 @@
         if how is RunOutcome.DONE:
             self._work.done[run.ref.task] = self._work.done.get(run.ref.task, 0) + 1
 
+    def fail(self, task: TaskRef) -> None:
+        """End the run of a task as failed."""
+        for run in [run for ref, run in self.running.items() if ref.task == task]:
+            self._end(run, RunOutcome.FAILED)
+
     def start(self, command: StartCommand) -> CommandResult:
         self.advance()
         if command.token < self.token:
--- a/tests/test_cell.py
+++ b/tests/test_cell.py
@@ -1,6 +1,7 @@
 """Fault-injection tests: cells keep their guarantees when components fail."""
 
 import asyncio
+import itertools
 from collections.abc import Awaitable, Callable
 from random import Random
 
@@ -14,6 +15,8 @@
 from tests.virtual_time import run_virtual
 
 DONE = WorkflowState.COMPLETED
+# Time that the users allow a task without an end to be away while there is capacity.
+LOST_TASK_LIMIT_MS = 6_000
 FaultInjector = Callable[[CellSimulation], Awaitable[None]]
 
 
@@ -315,6 +318,41 @@
     run_virtual(run_scenario())
 
 
+@pytest.mark.parametrize("ejected_ms", [0, 1_000])
+def test_failed_endless_task_restarts_before_waiting_work(ejected_ms: int) -> None:
+    """Guards against waiting work that takes the capacity of a failed endless task."""
+
+    async def run_scenario() -> None:
+        simulation = CellSimulation(workers=2, instances=1)
+        await simulation.sleep_ms(500)
+        step = build_step(7, is_endless=True)
+        now_ms = simulation.clock.wall_ms()
+        assert await simulation.submit(build_workflow("j1", step, accepted_ms=now_ms))
+        await simulation.sleep_ms(500)
+        stream = asyncio.ensure_future(submit_small_jobs(simulation))
+        await simulation.sleep_ms(1_000)
+        task = TaskRef("j1", 0, 0, 0)
+        (worker_id,) = simulation.work.live[task]
+        links = simulation.owner().host.owned["c0"].state.links
+        links[worker_id].load.eject(simulation.clock.now_ms(), ejected_ms)
+        simulation.workers[worker_id].fail(task)
+        await simulation.sleep_ms(LOST_TASK_LIMIT_MS)
+        stream.cancel()
+        assert simulation.work.live[task]
+
+    run_virtual(run_scenario())
+
+
+async def submit_small_jobs(simulation: CellSimulation) -> None:
+    """Submit jobs of one task that need more than the capacity of one worker."""
+    for number in itertools.count():
+        step = build_step(1, estimated_ms=700)
+        now_ms = simulation.clock.wall_ms()
+        small = build_workflow(f"small-{number}", step, accepted_ms=now_ms)
+        await simulation.submit(small)
+        await simulation.clock.sleep_ms(100)
+
+
 def test_worker_that_fails_every_task_is_avoided() -> None:
     """Guards against attempts wasted on a worker that fails every task."""
 
