Check more of cancellations that overtake a transfer

Each directed play now checks that the transfer was refused. The random plays also check the last start (4 s after the acknowledgement) and that 3 jobs that are not cancelled complete. A new test checks that the rows of a refused transfer are deleted.

--- a/tests/test_job_transfers.py
+++ b/tests/test_job_transfers.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from hyssopweir.events import Event
 from hyssopweir.workflow_progress import WorkflowState
 from tests.cell_simulation import (
     CellSimulation,
@@ -17,8 +18,11 @@
 
 SLOW_STORE_MS = 100
 RETRY_MS = 50
-# Time that the users allow from an acknowledged cancellation to the end of all runs.
+# Times that the users allow from an acknowledged cancellation to the last start of a
+# task, and to the end of all runs.
+START_LIMIT_MS = 4_000
 CANCEL_LIMIT_MS = 4_200
+ROW_LIFETIME_MS = 185_000
 
 
 def set_store_faults(
@@ -42,6 +46,13 @@
         await simulation.sleep_ms(RETRY_MS)
 
 
+def was_overtaken(simulation: CellSimulation) -> bool:
+    """Return whether a cancellation reached another cell before its job."""
+    return any(
+        record.event is Event.JOB_TRANSFER_CANCELLED for record in simulation.records
+    )
+
+
 async def restart_all(simulation: CellSimulation) -> None:
     for instance in simulation.instances:
         await instance.crash()
@@ -82,6 +93,7 @@
         await simulation.sleep_ms(CANCEL_LIMIT_MS)
         assert running_tasks(simulation, [job]) == []
         assert await simulation.state(job) is WorkflowState.CANCELLED
+        assert was_overtaken(simulation)
 
     run_virtual(run_scenario())
 
@@ -101,6 +113,7 @@
         await simulation.sleep_ms(CANCEL_LIMIT_MS)
         assert running_tasks(simulation, [job]) == []
         assert await simulation.state(job) is WorkflowState.CANCELLED
+        assert was_overtaken(simulation)
 
     run_virtual(run_scenario())
 
@@ -120,40 +133,72 @@
         await simulation.sleep_ms(3 * CANCEL_LIMIT_MS)
         assert running_tasks(simulation, [job]) == []
         assert await simulation.state(job) is WorkflowState.CANCELLED
+        assert was_overtaken(simulation)
+
+    run_virtual(run_scenario())
+
+
+def test_rows_of_a_refused_transfer_are_deleted() -> None:
+    """Guards against rows of a job that was cancelled during its transfer piling up."""
+
+    async def run_scenario() -> None:
+        simulation, job = await build_full_cell(1, SLOW_STORE_MS)
+        await submit_endless_job(simulation, job)
+        await simulation.sleep_ms(640)
+        await cancel_job(simulation, job)
+        await simulation.sleep_ms(ROW_LIFETIME_MS)
+        assert was_overtaken(simulation)
+        assert not [at for at in simulation.rows.rows if at.key.startswith(job)]
 
     run_virtual(run_scenario())
 
 
 @pytest.mark.parametrize("seed", range(24))
 def test_cancelled_jobs_of_several_cells_end(seed: int) -> None:
-    """Guards against cancelled jobs that run on after transfers and store faults."""
-    assert run_virtual(simulate_cancellations(seed)) == []
+    """Guards against store faults that revive cancelled jobs or lose the others."""
+    run_virtual(simulate_cancellations(seed))
 
 
-async def simulate_cancellations(seed: int) -> list[str]:
-    """Cancel jobs at random times under store faults; return tasks that run on."""
+async def simulate_cancellations(seed: int) -> None:
+    """Cancel some jobs at random times under store faults and check all jobs."""
     random = Random(seed)
-    simulation, _ = await build_full_cell(seed, random.choice((5, 30, 100)), 0.0)
+    simulation, _ = await build_full_cell(seed, random.choice((5, 30, 100)))
     for instance in simulation.instances:
         instance.faults.late_ms = random.choice((0, 2_000))
         instance.faults.lost_share = random.choice((0.0, 0.1, 0.3))
-    jobs = job_ids_of_cell("c0", simulation, 7)[1:]
-    loop = asyncio.get_running_loop()
+    jobs = job_ids_of_cell("c0", simulation, 10)[1:]
+    cancelled, finite = jobs[:6], jobs[6:]
+    acknowledged_ms: dict[str, int] = {}
 
     async def submit_and_cancel(job: str) -> None:
         await simulation.clock.sleep_ms(random.randint(0, 3_000))
         await submit_endless_job(simulation, job)
         await simulation.clock.sleep_ms(random.randint(0, 1_500))
         await cancel_job(simulation, job)
+        acknowledged_ms[job] = simulation.clock.now_ms()
 
-    tasks = [loop.create_task(submit_and_cancel(job)) for job in jobs]
+    async def submit_finite(job: str) -> None:
+        await simulation.clock.sleep_ms(random.randint(0, 3_000))
+        while not await simulation.submit(build_workflow(job, build_step(1))):
+            await simulation.sleep_ms(RETRY_MS)
+
+    loop = asyncio.get_running_loop()
+    tasks = [loop.create_task(submit_and_cancel(job)) for job in cancelled]
+    tasks += [loop.create_task(submit_finite(job)) for job in finite]
     await simulation.sleep_ms(random.randint(1_000, 4_000))
     if random.random() < 0.5:
         await restart_all(simulation)
     await asyncio.wait(tasks)
     set_store_faults(simulation, 5)
+    for job in finite:
+        assert await simulation.until(job, WorkflowState.COMPLETED, 30_000)
     await simulation.sleep_ms(3 * CANCEL_LIMIT_MS)
-    states = [await simulation.state(job) for job in jobs]
-    assert states == [WorkflowState.CANCELLED] * len(jobs)
+    for job in cancelled:
+        assert await simulation.state(job) is WorkflowState.CANCELLED
+        limit_ms = acknowledged_ms[job] + START_LIMIT_MS
+        started_ms = simulation.work.started_ms
+        assert not [
+            ref for ref in started_ms if ref.job == job and started_ms[ref] > limit_ms
+        ]
+    assert running_tasks(simulation, cancelled) == []
     assert simulation.work.breaches == []
-    return running_tasks(simulation, jobs)
