Add failing tests of late commands and of rows read during deletion

Cause as read: a new owner assumes full speed for each restored run, so a decision for 100 is no change and nothing is sent. A pace command is repeated until one is accepted, and nothing corrects an earlier one that is executed later. _watch_requests reads all request rows again after STORE_HISTORY_LOST, and a job that is already forgotten but not yet deleted in the store is added as a new one. _read_state takes a missing progress row of the other cell for a job that waits.

The fake worker keeps the pace of each run, can execute a pace late and reports a settable tail latency; the fake store can delay removals. The fake watch finds new rows by bisection instead of a scan of the whole log.

--- a/tests/agent_fakes.py
+++ b/tests/agent_fakes.py
@@ -25,6 +25,8 @@
 
 LATENCY_MS: Millis = 2
 POLL_MS: Millis = 5
+# Reported CPU use of runs without a tail latency target, in thousandths.
+CPU_USE = 10.0
 
 
 class LiveRun(NamedTuple):
@@ -69,6 +71,11 @@
         self.is_listed = True
         self.late_share = 0.0
         self.fails_all = False
+        # Reported tail latency of tasks with a target.
+        self.tail_ms = 10.0
+        # By percentage, the time after which the next pace command with it is executed;
+        # its reply is lost.
+        self.late_paces: dict[int, Millis] = {}
         self.lives = 0
         self.restart()
 
@@ -80,6 +87,8 @@
         self.token = 0
         self.lease_ms = 0
         self.running: dict[RunRef, LiveRun] = {}
+        # Percentage of full speed of each run that was paced.
+        self.paces: dict[RunRef, int] = {}
         self.closed: dict[TaskRef, int] = {}
         self.ended: list[EndedRun] = []
         self.count = 0
@@ -103,6 +112,7 @@
 
     def _end(self, run: LiveRun, how: RunOutcome) -> None:
         del self.running[run.ref]
+        self.paces.pop(run.ref, None)
         self._work.live[run.ref.task].discard(self.entry.worker_id)
         self.closed[run.ref.task] = max(run.ref.run, self.closed.get(run.ref.task, 0))
         self.count += 1
@@ -171,6 +181,15 @@
         self.closed[ref.task] = max(ref.run, self.closed.get(ref.task, 0))
         return CommandResult.ACCEPTED
 
+    def pace(self, ref: RunRef, percent: int, token: int) -> CommandResult:
+        self.advance()
+        if token < self.token:
+            return CommandResult.FENCED
+        self.token = token
+        if ref in self.running:
+            self.paces[ref] = percent
+        return CommandResult.ACCEPTED
+
     def renew_leases(
         self, token: int, acknowledged: int, lease_until_ms: Millis | None
     ) -> LeaseReply | CommandResult:
@@ -185,7 +204,12 @@
         self.ended = [end for end in self.ended if end.number > acknowledged]
         now_ms = self._clock.now_ms()
         running = [
-            RunStatus(run.ref, run.saved, self._percent(run, now_ms), 10.0)
+            RunStatus(
+                run.ref,
+                run.saved,
+                self._percent(run, now_ms),
+                self.tail_ms if run.step.tail_target_ms else CPU_USE,
+            )
             for run in self.running.values()
         ]
         return LeaseReply(now_ms, self.born_ms, running, list(self.ended))
@@ -262,7 +286,14 @@
     ) -> CommandResult:
         if not await self._reach(worker, timeout_ms):
             return CommandResult.UNKNOWN
-        return CommandResult.ACCEPTED
+        fake = self._workers[worker.worker_id]
+        if percent in fake.late_paces:
+            delay_s = fake.late_paces.pop(percent) / 1_000
+            loop = asyncio.get_running_loop()
+            loop.call_later(delay_s, fake.pace, ref, percent, token)
+            await self._clock.sleep_ms(timeout_ms)
+            return CommandResult.UNKNOWN
+        return fake.pace(ref, percent, token)
 
     async def renew_leases(
         self,
--- a/tests/row_fakes.py
+++ b/tests/row_fakes.py
@@ -1,6 +1,7 @@
 """In-memory row store with lost replies, late writes, outages and lost history."""
 
 import asyncio
+from bisect import bisect_right
 from collections.abc import Sequence
 from random import Random
 
@@ -73,6 +74,9 @@
         self.lost_share = 0.0
         self.late_ms: Millis = 0
         self.latency_ms = LATENCY_MS
+        # Additional latency of transactions that remove rows.
+        self.removal_delay_ms: Millis = 0
+        self.is_removing = False
 
 
 class FakeRowStore:
@@ -104,6 +108,12 @@
             return reached
         if count_entries(changes) > MAX_ENTRIES:
             return Err(not_run(Code.STORE_JUNK, "too many entries"))
+        if self.faults.removal_delay_ms and any(
+            isinstance(change, Remove) for change in changes
+        ):
+            self.faults.is_removing = True
+            await self._clock.sleep_ms(self.faults.removal_delay_ms)
+            self.faults.is_removing = False
         if self.faults.random.random() >= self.faults.lost_share:
             return Ok(self._shared.apply(changes))
         if self.faults.late_ms:
@@ -140,11 +150,10 @@
         while True:
             if after < self._shared.first_known:
                 return Err(not_run(Code.STORE_HISTORY_LOST, "compacted"))
-            rows = [
-                row
-                for row in self._shared.log
-                if row.version > after and row.at.table == table
-            ]
+            log = self._shared.log
+            # Versions in the log ascend; a scan of a long log would dominate the test.
+            first = bisect_right(log, after, key=lambda row: row.version)
+            rows = [row for row in log[first:] if row.at.table == table]
             if rows or self._clock.now_ms() >= limit_ms:
                 return Ok(Changes(rows, self._shared.version))
             await self._clock.sleep_ms(POLL_MS)
--- /dev/null
+++ b/tests/test_cell_reordering.py
@@ -0,0 +1,194 @@
+"""Tests of cells that act on late commands, on rows read again or on rows deleted."""
+
+from collections.abc import Callable
+
+import pytest
+
+from hyssopweir.events import Event
+from hyssopweir.row_store import ABSENT, RowKey, Write
+from hyssopweir.workflow_progress import RunRef, WorkflowState
+from tests.agent_fakes import FakeWorker
+from tests.cell_simulation import (
+    CellSimulation,
+    FakeInstance,
+    build_step,
+    build_workflow,
+    fill_first_cell,
+    job_ids_of_cell,
+)
+from tests.virtual_time import run_virtual
+
+TAIL_TARGET_MS = 100
+LOW_TAIL_MS = 10.0
+HIGH_TAIL_MS = 300.0
+LATE_PACE_MS = 3_000
+# Time after which an owner has decided on a speed and sent all commands for it.
+PACING_LIMIT_MS = 15_000
+# Retention time of the simulation plus the margin before rows are deleted.
+RETENTION_MS = 150_000
+# A removal takes longer than a new read of the request rows, but does not time out.
+REMOVAL_DELAY_MS = 120
+# Polls of a job's state, one a second, until its rows are deleted.
+MAX_POLLS = 300
+
+
+async def wait_until(
+    simulation: CellSimulation, condition: Callable[[], bool], limit_ms: int
+) -> None:
+    """Sleep until a condition holds, and fail after ``limit_ms``."""
+    end_ms = simulation.clock.now_ms() + limit_ms
+    while not condition():
+        assert simulation.clock.now_ms() < end_ms
+        await simulation.sleep_ms(5)
+
+
+async def start_filler() -> tuple[CellSimulation, FakeWorker, RunRef]:
+    """Return a simulation with a serving task and a filler on one worker."""
+    simulation = CellSimulation(workers=1, instances=2, seed=1)
+    await simulation.sleep_ms(1_500)
+    serving = build_step(
+        1, is_endless=True, image="menu", tail_target_ms=TAIL_TARGET_MS
+    )
+    assert await simulation.submit(build_workflow("serving", serving))
+    await simulation.sleep_ms(3_000)
+    filler = build_step(1, is_filler=True, image="index", estimated_ms=600_000)
+    assert await simulation.submit(build_workflow("filler", filler))
+    await simulation.sleep_ms(10_000)
+    worker = simulation.workers["w0"]
+    (ref,) = [ref for ref in worker.running if ref.task.job == "filler"]
+    return simulation, worker, ref
+
+
+async def stop_filler(
+    simulation: CellSimulation, worker: FakeWorker, ref: RunRef
+) -> None:
+    """Overload the serving task until the filler stands still."""
+    worker.tail_ms = HIGH_TAIL_MS
+    await wait_until(simulation, lambda: worker.paces.get(ref) == 0, PACING_LIMIT_MS)
+
+
+async def overtake_pace(
+    simulation: CellSimulation, worker: FakeWorker, percent: int, tail_ms: float
+) -> None:
+    """Delay the next pace of ``percent``; report ``tail_ms`` once it has been sent."""
+    worker.late_paces[percent] = LATE_PACE_MS
+    await wait_until(simulation, lambda: not worker.late_paces, PACING_LIMIT_MS)
+    worker.tail_ms = tail_ms
+    await simulation.sleep_ms(LATE_PACE_MS - 100)
+
+
+def test_new_owner_resumes_a_stopped_filler() -> None:
+    """Guards against a filler that stands still for good after a change of owner."""
+
+    async def run_scenario() -> None:
+        simulation, worker, ref = await start_filler()
+        await stop_filler(simulation, worker, ref)
+        await simulation.owner().crash()
+        worker.tail_ms = LOW_TAIL_MS
+        await simulation.sleep_ms(PACING_LIMIT_MS)
+        assert ref in worker.running
+        assert worker.paces[ref] == 100
+
+    run_virtual(run_scenario())
+
+
+def test_late_stop_of_a_resumed_filler_is_corrected() -> None:
+    """Guards against a late pace of 0 that stops a filler for good."""
+
+    async def run_scenario() -> None:
+        simulation, worker, ref = await start_filler()
+        worker.tail_ms = HIGH_TAIL_MS
+        await overtake_pace(simulation, worker, 0, LOW_TAIL_MS)
+        assert worker.paces[ref] == 100
+        await simulation.sleep_ms(PACING_LIMIT_MS)
+        assert ref in worker.running
+        assert worker.paces[ref] == 100
+
+    run_virtual(run_scenario())
+
+
+def test_late_resumption_of_a_stopped_filler_is_corrected() -> None:
+    """Guards against a late pace of 100 next to a task that stays overloaded."""
+
+    async def run_scenario() -> None:
+        simulation, worker, ref = await start_filler()
+        await stop_filler(simulation, worker, ref)
+        await simulation.sleep_ms(1_000)
+        worker.tail_ms = LOW_TAIL_MS
+        await overtake_pace(simulation, worker, 100, HIGH_TAIL_MS)
+        assert worker.paces[ref] == 0
+        await simulation.sleep_ms(PACING_LIMIT_MS)
+        assert ref in worker.running
+        assert worker.paces[ref] == 0
+
+    run_virtual(run_scenario())
+
+
+async def complete_job(is_transferred: bool) -> tuple[CellSimulation, str]:
+    """Return a simulation with a completed job, and its id."""
+    if is_transferred:
+        simulation = CellSimulation(workers=2, instances=2, cells=2, seed=1)
+        await fill_first_cell(simulation)
+    else:
+        simulation = CellSimulation(workers=2, instances=2, seed=1)
+        await simulation.sleep_ms(1_500)
+    job = job_ids_of_cell("c0", simulation, 2)[1]
+    assert await simulation.submit(build_workflow(job, build_step(2)))
+    assert await simulation.until(job, WorkflowState.COMPLETED, 10_000)
+    moved = [r.fields["job"] for r in simulation.records if r.event is Event.JOB_MOVED]
+    assert moved == [job] * is_transferred
+    return simulation, job
+
+
+def owner_of(simulation: CellSimulation, cell: str) -> FakeInstance:
+    return next(
+        instance for instance in simulation.instances if cell in instance.host.owned
+    )
+
+
+@pytest.mark.parametrize(
+    ("is_transferred", "deleting_cell"),
+    [(False, "c0"), (True, "c0"), (True, "c1")],
+    ids=["own", "transferred", "received"],
+)
+def test_rows_read_again_during_their_deletion_start_no_job(
+    is_transferred: bool, deleting_cell: str
+) -> None:
+    """Guards against a completed job that runs again after a loss of history."""
+
+    async def run_scenario() -> None:
+        simulation, job = await complete_job(is_transferred)
+        faults = owner_of(simulation, deleting_cell).faults
+        faults.removal_delay_ms = REMOVAL_DELAY_MS
+        await wait_until(simulation, lambda: faults.is_removing, 2 * RETENTION_MS)
+        # A row of another table lets the version of the store advance.
+        other_row = Write(RowKey("status", "", "other"), b"{}", ABSENT)
+        simulation.rows.apply([other_row])
+        simulation.rows.forget_history()
+        await simulation.sleep_ms(20_000)
+        assert simulation.work.breaches == []
+        assert not any(at.key == job for at in simulation.rows.rows)
+
+    run_virtual(run_scenario())
+
+
+@pytest.mark.parametrize("is_restarted", [False, True])
+def test_completed_job_is_not_pending_while_its_rows_are_deleted(
+    is_restarted: bool,
+) -> None:
+    """Guards against a completed job that is pending once one cell deletes its rows."""
+
+    async def run_scenario() -> None:
+        simulation, job = await complete_job(is_transferred=True)
+        await simulation.sleep_ms(30_000)
+        if is_restarted:
+            home = owner_of(simulation, "c0")
+            await home.crash()
+            home.start()
+        states = [await simulation.state(job, 1)]
+        while states[-1] is not None and len(states) < MAX_POLLS:
+            await simulation.sleep_ms(1_000)
+            states.append(await simulation.state(job, 1))
+        assert list(dict.fromkeys(states)) == [WorkflowState.COMPLETED, None]
+
+    run_virtual(run_scenario())
