Name both cells in the event of a refused transfer

JOB_MOVED names the first cell as cell and the second as target; JOB_TRANSFER_CANCELLED named the second as cell.

--- a/hyssopweir/job_transfers.py
+++ b/hyssopweir/job_transfers.py
@@ -206,7 +206,10 @@
         outcome = await self._transact(changes)
         if isinstance(outcome, Conflict) and request not in outcome.rows:
             self._state.log.emit(
-                Event.JOB_TRANSFER_CANCELLED, job=job, cell=transfer.cell
+                Event.JOB_TRANSFER_CANCELLED,
+                job=job,
+                cell=self._state.cell,
+                target=transfer.cell,
             )
         transfer.is_sent = True
         self._state.commits.mark(self._state.progress_key(job))
