Run the tests in four processes, with ports of their own

Change: pytest-xdist; a port is reserved until the test process ends by a socket on a second loopback address, below the range of outgoing connections.

--- a/Makefile
+++ b/Makefile
@@ -3,6 +3,8 @@
 BIN := $(VENV)/bin
 READY := $(VENV)/.ready
 BINARY ?= dist/hyssopweir
+# Test processes; most tests run in virtual time and need no idle processor.
+TEST_JOBS ?= 4
 SOURCES := hyssopweir tests benchmarks experiments
 
 .PHONY: demo test check format binary bench experiment soak clean
@@ -17,7 +19,7 @@
 	$(BIN)/hyssopweir demo
 
 test: $(READY)
-	$(BIN)/python -m pytest $(PYTEST_ARGS)
+	$(BIN)/python -m pytest -n $(TEST_JOBS) --dist worksteal $(PYTEST_ARGS)
 
 check: $(READY)
 	$(BIN)/black --check $(SOURCES)
--- a/benchmarks/processes.py
+++ b/benchmarks/processes.py
@@ -11,7 +11,8 @@
 from typing import Any, NamedTuple
 
 from tests.builders import build_settings_data
-from tests.processes import free_ports, http, wait_until
+from tests.ports import free_ports
+from tests.processes import http, wait_until
 
 TICKS_PER_S = os.sysconf("SC_CLK_TCK")
 OWNER_DATA_CENTRE = "kista"
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -3,7 +3,6 @@
 import json
 import os
 import signal
-import socket
 import subprocess
 import sys
 import time
@@ -15,6 +14,7 @@
 from typing import Any, NamedTuple
 
 from tests.builders import build_settings_data
+from tests.ports import free_ports
 
 DATA_CENTRES = ("kista", "huddinge", "arlanda")
 START_LIMIT_S = 30.0
@@ -56,17 +56,6 @@
         return ReceivedReply(exc.code, dict(exc.headers), exc.read())
 
 
-def free_ports(count: int) -> list[int]:
-    sockets = [socket.socket() for _ in range(count)]
-    try:
-        for sock in sockets:
-            sock.bind(("127.0.0.1", 0))
-        return [sock.getsockname()[1] for sock in sockets]
-    finally:
-        for sock in sockets:
-            sock.close()
-
-
 def wait_until(condition: Callable[[], bool], what: str) -> None:
     deadline_s = time.monotonic() + START_LIMIT_S
     while time.monotonic() < deadline_s:
@@ -94,7 +83,7 @@
         self._write_fleet()
 
     def _write_fleet(self) -> None:
-        first, self._port_guard = _port_range(4 * len(DATA_CENTRES))
+        first = free_ports(4 * len(DATA_CENTRES))[0]
         local = {"host": "127.0.0.1"}
         fleet = {
             "name": "norrstrom",
@@ -210,29 +199,6 @@
             process.kill()
         for process in self.processes.values():
             process.wait()
-        self._port_guard.close()
-
-
-def _port_range(count: int) -> tuple[int, socket.socket]:
-    """Return the first of ``count`` free consecutive ports and a guard to close later.
-
-    The guard socket is bound to the port after the range, so that another test run on
-    this host does not take the same range before the workers listen on it.
-    """
-    for first in range(24_000, 32_000, count + 1):
-        sockets = [socket.socket() for _ in range(count)]
-        guard = socket.socket()
-        try:
-            guard.bind(("127.0.0.1", first + count))
-            for offset, sock in enumerate(sockets):
-                sock.bind(("127.0.0.1", first + offset))
-            return first, guard
-        except OSError:
-            guard.close()
-        finally:
-            for sock in sockets:
-                sock.close()
-    raise AssertionError("no free port range")
 
 
 @contextmanager
