Do the work of an owner once for a step, a report or a change

Change: workers are ranked once for a step in a heap, of which a placement changes one (WorkerRanking); headroom and speeds are kept until a report or a run changes (WorkerLoad.revision); durations of a step are sorted once; an entry that differs in its heartbeat alone is not parsed again; lines are encoded by the handler.

--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -24,6 +24,7 @@
 )
 from benchmarks.instances import measure_idle
 from benchmarks.mesh import measure_mesh
+from benchmarks.owner import OwnerLoad, measure_owner
 from benchmarks.state import (
     measure_configuration,
     measure_notifications,
@@ -121,6 +122,15 @@
     )
 
 
+def run_owner(checkouts: tuple[str, ...], runs: int) -> BenchmarkResult:
+    """Measure the processor time of a cell's owner, in each checkout by turns."""
+    costs = [
+        cost for _ in range(runs) for cost in measure_owner(OwnerLoad(), checkouts)
+    ]
+    values = [{**cost._asdict(), "ms_per_run": cost.ms_per_run} for cost in costs]
+    return BenchmarkResult(values, report.owner_table(costs))
+
+
 def _slope_data(slopes: Any) -> list[dict[str, Any]]:
     return [
         {
@@ -148,10 +158,16 @@
 @click.option("--runs", default=3, show_default=True, help="Runs of the entry path.")
 @click.option(
     "--only",
-    type=click.Choice(list(BENCHMARKS)),
+    type=click.Choice([*BENCHMARKS, "owner"]),
     multiple=True,
     help="Run only this part.",
 )
+@click.option(
+    "--checkout",
+    type=click.Path(exists=True, file_okay=False, resolve_path=True),
+    multiple=True,
+    help="Measure the owner of this checkout as well.",
+)
 @click.option(
     "--output",
     type=click.Path(dir_okay=False, path_type=Path),
@@ -159,7 +175,9 @@
     show_default=True,
     help="File for all figures.",
 )
-def main(seed: int, runs: int, only: tuple[str, ...], output: Path) -> None:
+def main(
+    seed: int, runs: int, only: tuple[str, ...], checkout: tuple[str, ...], output: Path
+) -> None:
     """Measure the entry path, memory, slopes and decisions."""
     # Exits through the cleanup code on SIGTERM, so that a benchmark stopped by a time
     # limit leaves no processes behind.
@@ -171,9 +189,11 @@
         "memory_gb": round(MEMORY_BYTES / 1_073_741_824, 1),
         "load_average_before": os.getloadavg(),
     }
-    for name in only or BENCHMARKS:
+    checkouts = (os.getcwd(), *checkout)
+    benchmarks = {**BENCHMARKS, "owner": lambda _, runs: run_owner(checkouts, runs)}
+    for name in only or benchmarks:
         started_s = time.monotonic()
-        result = BENCHMARKS[name](seed, runs)
+        result = benchmarks[name](seed, runs)
         data[name] = result.values
         click.echo(f"\n## {name} ({time.monotonic() - started_s:.0f} s)\n")
         click.echo("\n".join(result.lines))
--- a/benchmarks/report.py
+++ b/benchmarks/report.py
@@ -1,6 +1,7 @@
 """Markdown tables of the benchmark results."""
 
 from collections.abc import Iterable, Sequence
+from pathlib import Path
 
 from benchmarks.decisions import Decision
 from benchmarks.entry_path import (
@@ -13,6 +14,7 @@
 )
 from benchmarks.flow import KeyRecordCost, StartCost, TableCalls
 from benchmarks.instances import IdleCost
+from benchmarks.owner import OwnerCost
 from benchmarks.slopes import Slope
 from benchmarks.wire import WireCost
 
@@ -25,6 +27,24 @@
     return ["| " + " | ".join(cells) + " |" for cells in lines]
 
 
+def owner_table(costs: Iterable[OwnerCost]) -> list[str]:
+    """Return the table of the processor time of owners."""
+    head = ("checkout", "workers", "starts/s", "runs", "cpu ms a run", "cpu %", "MB")
+    rows = [
+        (
+            Path(cost.checkout).name,
+            f"{cost.load.workers}",
+            f"{cost.load.starts_per_second}",
+            f"{cost.runs}",
+            f"{cost.ms_per_run:.2f}",
+            f"{100 * cost.cpu_s / cost.load.seconds:.0f}",
+            f"{cost.rss_bytes / MB:.0f}",
+        )
+        for cost in costs
+    ]
+    return markdown_table(head, rows)
+
+
 def entry_tables(result: EntryPathResult) -> list[str]:
     """Return the request path tables: median (minimum to maximum) over the runs."""
     head = (
--- a/hyssopweir/agents.py
+++ b/hyssopweir/agents.py
@@ -93,6 +93,8 @@
     OTHER_LIFE = "other_life"
     INVALID = "invalid"
     NOT_SENT = "not_sent"
+    # The worker's machine answered that no process listens at its address.
+    NO_LISTENER = "no_listener"
     UNKNOWN = "unknown"
 
 
--- a/hyssopweir/cell_maintenance.py
+++ b/hyssopweir/cell_maintenance.py
@@ -56,6 +56,8 @@
         self._task_transfers = task_transfers
         self._retention_ms = retention_ms + RETENTION_MARGIN_MS
         self._pacing: dict[str, FillerPacing] = {}
+        # By worker, the revision of its runs at which none was stalled.
+        self._checked_revisions: dict[str, int] = {}
         self._last_cleanup_ms: Millis = 0
         self._last_load_log_ms: Millis = 0
 
@@ -212,7 +214,14 @@
                     self._commands.stop(run, link, "worker is leaving")
 
     def _stop_stalled(self, link: AgentLink, now_ms: Millis) -> None:
-        """Stop runs without progress and eject their worker for a limited time."""
+        """Stop runs without progress and eject their worker for a limited time.
+
+        Only a report can show that a run is stalled.
+        """
+        worker_id = link.entry.worker_id
+        if self._checked_revisions.get(worker_id) == link.load.revision:
+            return
+        self._checked_revisions[worker_id] = link.load.revision
         for run, step in list(link.load.runs.values()):
             with self._state.guard_task(run.ref.task):
                 if is_stalled(run, step, now_ms, link.load.last_report_ms):
--- a/hyssopweir/cell_scheduler.py
+++ b/hyssopweir/cell_scheduler.py
@@ -1,6 +1,6 @@
 """Placement of waiting tasks, ordered by the urgency of their jobs."""
 
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable, Iterator, Mapping, Sequence, Set
 from operator import itemgetter
 from typing import NamedTuple
 
@@ -10,7 +10,11 @@
 from hyssopweir.events import Event
 from hyssopweir.resources import Resources
 from hyssopweir.run_commands import RunCommands
-from hyssopweir.step_placement import choose_worker_for_step
+from hyssopweir.step_placement import (
+    WorkerRanking,
+    choose_worker_for_step,
+    rank_workers,
+)
 from hyssopweir.task_state import Run, Task, TaskRef
 from hyssopweir.worker_load import WorkerLoad
 from hyssopweir.workflow_progress import WorkflowProgress
@@ -78,10 +82,11 @@
             if len(unplaceable) >= MAX_UNPLACEABLE:
                 break
             with self._state.guard(progress.key):
-                waiting = list(progress.waiting())
-                new_runs.extend(
-                    self._place_tasks(progress, waiting, loads, unplaceable, now_ms)
-                )
+                if not is_unplaceable(progress, unplaceable):
+                    waiting = list(progress.waiting())
+                    new_runs.extend(
+                        self._place_tasks(progress, waiting, loads, unplaceable, now_ms)
+                    )
                 if not any(True for _ in progress.waiting()):
                     self._state.unplaced.discard(progress.key)
         if new_runs:
@@ -107,27 +112,31 @@
         self,
         progress: WorkflowProgress,
         waiting: Iterable[tuple[TaskRef, Step, Task]],
-        loads: dict[str, list[WorkerLoad]],
+        loads: Mapping[str, Sequence[WorkerLoad]],
         unplaceable: set[PlacementKey],
         now_ms: Millis,
     ) -> Iterator[tuple[Run, AgentLink]]:
         service = progress.workflow.service
         is_changed = False
         spare_runs = progress.spare_runs()
+        rankings: dict[tuple[int, int], WorkerRanking] = {}
         for ref, step, task in waiting:
             if not spare_runs and task.is_unstarted():
                 continue
             key = placement_key(service, step)
             if key in unplaceable:
                 continue
-            load = choose_worker_for_step(
-                ref,
-                step,
-                task,
-                loads.get(service, ()),
-                self._state.interference_model,
-                now_ms,
-            )
+            ranking = rankings.get((ref.occurrence, ref.step))
+            if ranking is None:
+                # Ends the rankings of earlier steps, which know only their own runs.
+                ranking = rank_workers(
+                    step,
+                    loads.get(service, ()),
+                    self._state.interference_model,
+                    now_ms,
+                )
+                rankings = {(ref.occurrence, ref.step): ranking}
+            load = ranking.choose(ref, task)
             if load is None:
                 if not step.most_per_worker:
                     unplaceable.add(key)
@@ -178,6 +187,15 @@
         return run, link
 
 
+def is_unplaceable(progress: WorkflowProgress, unplaceable: Set[PlacementKey]) -> bool:
+    """Return whether no open step of a job fits, as far as this pass has found."""
+    service = progress.workflow.service
+    steps = progress.active_steps()
+    return bool(steps) and all(
+        placement_key(service, step) in unplaceable for _, step in steps
+    )
+
+
 def urgency_key(
     progress: WorkflowProgress, wall_ms: Millis
 ) -> tuple[int, int, int, Millis, str]:
--- a/hyssopweir/events.py
+++ b/hyssopweir/events.py
@@ -47,6 +47,7 @@
     CELL_LOAD = 234
     LAYOUT_KNOWN = 235
     LAYOUT_WRITTEN = 236
+    OWNER_PAUSED = 237
 
     WORKER_CLAIMED = 300
     WORKER_UNREACHABLE = 301
@@ -182,6 +183,16 @@
     }
 
 
+class EventLine:
+    """Text of an event as a JSON line, encoded only if a handler writes it."""
+
+    def __init__(self, record: EventRecord) -> None:
+        self._record = record
+
+    def __str__(self) -> str:
+        return json.dumps(record_to_dict(self._record), default=str)
+
+
 class EventLog:
     """Log of one process that keeps the newest ``RING_CAPACITY`` events in memory."""
 
@@ -209,7 +220,11 @@
             subscriber(record)
         level = _level_of(event)
         if logger.isEnabledFor(level):
-            logger.log(level, json.dumps(record_to_dict(record), default=str))
+            # ``logger.log`` would search the stack for the caller, which no line names.
+            line = logging.LogRecord(
+                logger.name, level, "", 0, EventLine(record), None, None
+            )
+            logger.handle(line)
         return record
 
     def subscribe(self, subscriber: Callable[[EventRecord], None]) -> None:
--- a/hyssopweir/filler_interference.py
+++ b/hyssopweir/filler_interference.py
@@ -6,7 +6,7 @@
 """
 
 import json
-from collections.abc import Iterator
+from collections.abc import Iterator, Sequence
 from typing import Any
 
 from hyssopweir.clock import Millis
@@ -69,15 +69,21 @@
         self._filters: dict[str, InterferenceFilter] = {}
         self._min_tail_ms: dict[str, float] = {}
         self._peak_load: dict[str, float] = {}
-        # Cache by the serving images of a worker.
+        # Caches by the serving images of a worker, and by these and a further one.
         self._compatible_shares: dict[frozenset[str], float] = {}
+        self._blocked_shares: dict[tuple[str, frozenset[str]], float] = {}
         self._cached_ms: Millis = 0
+        # Changes with every estimate.
+        self._revision = 0
+        # By worker, the revisions of the estimates and the runs, and its headroom.
+        self._headrooms: dict[str, tuple[int, int, dict[str, float]]] = {}
 
     def observe_worker(self, load: WorkerLoad, now_ms: Millis) -> None:
         """Update the estimates from the newest report of a worker."""
         if now_ms - self._cached_ms >= CACHE_MS:
             self._cached_ms = now_ms
             self._compatible_shares.clear()
+            self._blocked_shares.clear()
         is_settled = now_ms - load.filler_ended_ms >= UNSETTLED_MS
         share_by_image: dict[str, float] = {}
         for run, step in load.runs.values():
@@ -94,6 +100,7 @@
             min_tail_ms = self._min_tail_ms.get(step.image, run.figure)
             self._min_tail_ms[step.image] = min(min_tail_ms, run.figure)
             image_filter = self._filters.setdefault(step.image, InterferenceFilter())
+            self._revision += 1
             job = run.ref.task.job
             image_filter.observe(
                 job,
@@ -124,6 +131,7 @@
         """Load a stored state; raise ``InputError``, with no effect, if malformed."""
         data = read_object(parse_bounded_json(body), "interference")
         images = read_map(data.get("images"), "images", MAX_STORED_BYTES)
+        self._revision += 1
         restored = [(image, *_parse_image(value)) for image, value in images.items()]
         for image, min_tail_ms, peak, coefficients in restored:
             self._min_tail_ms[image] = min_tail_ms
@@ -159,25 +167,50 @@
         return IDLE_SHARE_OF_MIN_TAIL * min_tail_ms
 
     def headroom(self, load: WorkerLoad) -> dict[str, float]:
-        """Return the utilization that fillers may still add, by serving image."""
+        """Return the utilization that fillers may still add, by serving image.
+
+        Handles many fillers that wait: each of their images asks for each worker.
+        """
+        worker = load.entry.worker_id
+        revisions = (self._revision, load.revision)
+        cached = self._headrooms.get(worker)
+        if cached is None or cached[:2] != revisions:
+            cached = (*revisions, self._compute_headroom(load))
+            self._headrooms[worker] = cached
+        return cached[2]
+
+    def forget_worker(self, worker: str) -> None:
+        """Drop what is cached about a worker that has left."""
+        self._headrooms.pop(worker, None)
+
+    def _compute_headroom(self, load: WorkerLoad) -> dict[str, float]:
         headrooms: dict[str, float] = {}
-        shares = filler_shares(load)
+        shares: list[tuple[str, float]] | None = None
+        added_by_image: dict[str, float] = {}
         for run, step in serving_runs(load):
             image_filter = self._filters.get(step.image, UNOBSERVED)
+            added = added_by_image.get(step.image)
+            if added is None:
+                if shares is None:
+                    shares = filler_shares(load)
+                added = added_by_image[step.image] = image_filter.added_by(shares)
             baseline = image_filter.baseline_load(run.ref.task.job)
             rise = max(self._peak_load.get(step.image, 1.0) - baseline, 0.0)
-            utilization = (
-                baseline + min(rise, MAX_LOAD_RISE) + image_filter.added_by(shares)
-            )
+            utilization = baseline + min(rise, MAX_LOAD_RISE) + added
             available = self.utilization_limit(step, PLACEMENT_TAIL) - utilization
             headrooms[step.image] = min(available, headrooms.get(step.image, available))
         return headrooms
 
-    def utilization_budget(self, run: Run, step: Step, load: WorkerLoad) -> float:
-        """Return the utilization that all fillers together may add to a task."""
+    def utilization_budget(
+        self, run: Run, step: Step, shares: Sequence[tuple[str, float]]
+    ) -> float:
+        """Return the utilization that all fillers together may add to a task.
+
+        ``shares`` are those of the fillers on its worker, from ``filler_shares``.
+        """
         image_filter = self._filters.get(step.image, UNOBSERVED)
         baseline = image_filter.baseline_load(run.ref.task.job)
-        expected = baseline + image_filter.added_by(filler_shares(load))
+        expected = baseline + image_filter.added_by(shares)
         # Half of what the estimates do not explain counts as measurement noise.
         residual = max(self.task_utilization(run, step) - expected, 0.0) / 2
         return self.utilization_limit(step) - baseline - residual
@@ -189,9 +222,18 @@
 
     def newly_blocked_share(self, image: str, load: WorkerLoad) -> float:
         """Return the share of filler images that a task of an image would exclude."""
-        present = load.serving_images()
+        present = frozenset(load.serving_images())
         if image in present:
             return 0.0
+        blocked = self._blocked_shares.get((image, present))
+        if blocked is None:
+            blocked = self._compute_newly_blocked_share(image, present)
+            self._blocked_shares[image, present] = blocked
+        return blocked
+
+    def _compute_newly_blocked_share(
+        self, image: str, present: frozenset[str]
+    ) -> float:
         unknown = UNKNOWN_BLOCKED_SHARED if present else UNKNOWN_BLOCKED_ALONE
         fillers = self._filler_images()
         if not fillers:
--- a/hyssopweir/filler_pacing.py
+++ b/hyssopweir/filler_pacing.py
@@ -16,6 +16,7 @@
     PACING_TAIL,
     TAIL_WINDOW_MS,
     FillerInterference,
+    filler_shares,
     serving_runs,
 )
 from hyssopweir.task_state import Run, RunPhase, RunRef
@@ -52,6 +53,10 @@
     def __init__(self, interference: FillerInterference) -> None:
         self._interference = interference
         self._changed_ms: Millis | None = None
+        # Target speeds by the newest report, and the revision of the worker and the
+        # fillers that they were computed for.
+        self._targets: dict[RunRef, int] = {}
+        self._targets_basis: tuple[int, list[RunRef]] = (-1, [])
         # Start of the current overload of each task above its target.
         self._overloaded_since_ms: dict[RunRef, Millis] = {}
 
@@ -71,7 +76,11 @@
         )
         if not fillers or is_settling:
             return []
-        target_percents = self._target_percents(fillers, load)
+        basis = (load.revision, [run.ref for run, _ in fillers])
+        if basis != self._targets_basis:
+            self._targets_basis = basis
+            self._targets = self._target_percents(fillers, load)
+        target_percents = self._targets
         if must_stop_all:
             target_percents = dict.fromkeys(target_percents, 0)
         changes = [
@@ -100,6 +109,7 @@
     ) -> dict[RunRef, int]:
         """Return the filler speeds at which no co-located task exceeds its limit."""
         shares = {run.ref: 1.0 for run, _ in fillers}
+        used = filler_shares(load)
         for run, step in serving_runs(load):
             added = {
                 filler.ref: self._interference.added_utilization(
@@ -107,7 +117,7 @@
                 )
                 for filler, filler_step in fillers
             }
-            budget = self._interference.utilization_budget(run, step, load)
+            budget = self._interference.utilization_budget(run, step, used)
             harmful = {
                 filler.ref
                 for filler, filler_step in fillers
--- a/hyssopweir/platform/http_agent.py
+++ b/hyssopweir/platform/http_agent.py
@@ -2,6 +2,7 @@
 
 import ipaddress
 from collections.abc import Mapping
+from functools import lru_cache
 from typing import Any
 
 from result import Err, Ok, Result
@@ -33,7 +34,7 @@
     read_text,
 )
 from hyssopweir.platform.json_http_client import JsonHttpClient, Response
-from hyssopweir.platform_client import ExchangeError, ExchangeErrorKind
+from hyssopweir.platform_client import UNSENT_KINDS, ExchangeError, ExchangeErrorKind
 from hyssopweir.resources import Resources
 from hyssopweir.row_store import RowStore, StoredRow, read_all
 from hyssopweir.task_state import RunOutcome, RunRef, TaskRef
@@ -62,6 +63,8 @@
 MAX_SAVED_CHARS = 1_000
 MAX_OCCURRENCE = 2**53 - 1
 MAX_TASK_NUMBER = 10**9
+# Task names that are kept parsed, about 300 bytes each.
+MAX_KNOWN_TASK_NAMES = 4_096
 MAX_PERCENT = 100
 MAX_FIGURE = 1e9
 
@@ -199,7 +202,9 @@
 
 
 def _result_from_error(error: ExchangeError) -> CommandResult:
-    if error.kind is ExchangeErrorKind.NOT_CONNECTED:
+    if error.kind is ExchangeErrorKind.NO_LISTENER:
+        return CommandResult.NO_LISTENER
+    if error.kind in UNSENT_KINDS:
         return CommandResult.NOT_SENT
     return CommandResult.UNKNOWN
 
@@ -225,7 +230,13 @@
 
 def parse_task_name(name: Any) -> TaskRef:
     """Parse the name of a task on the wire; raise ``InputError`` if malformed."""
-    job, *numbers = read_text(name, "task", 2 * MAX_NAME_CHARS).rsplit(".", 3)
+    return _parse_short_task_name(read_text(name, "task", 2 * MAX_NAME_CHARS))
+
+
+# Every lease reply names all runs of a worker.
+@lru_cache(MAX_KNOWN_TASK_NAMES)
+def _parse_short_task_name(name: str) -> TaskRef:
+    job, *numbers = name.rsplit(".", 3)
     if len(numbers) != 3 or not all(n.isascii() and n.isdigit() for n in numbers):
         raise InputError("task is not the name of a task")
     occurrence, step, number = map(int, numbers)
@@ -298,6 +309,8 @@
         self._clock = clock
         self._faults = FaultLog(log)
         self._entries: dict[str, WorkerEntry] = {}
+        # By worker, the fields that its entry was built from.
+        self._parsed: dict[str, dict[str, Any]] = {}
         self._version: int | None = None
         self._read_failures = CallFailures("worker list read", clock, log)
         self._watch_failures = CallFailures("worker list watch", clock, log)
@@ -323,6 +336,7 @@
             if isinstance(page, Err):
                 return page
             self._entries = {}
+            self._parsed = {}
             self._version = page.ok_value.version
             return Ok(page.ok_value.rows)
         timeout_ms = WATCH_MS + READ_TIMEOUT_MS
@@ -343,17 +357,39 @@
         if row.is_deleted:
             self._faults.clear(item)
             self._entries.pop(worker_id, None)
+            self._parsed.pop(worker_id, None)
             return
-        entry = self._faults.read(item, parse_worker_entry, worker_id, row.value)
+        entry = self._faults.read(item, self._parse_row, worker_id, row.value)
         if entry is None:
             self._entries.pop(worker_id, None)
+            self._parsed.pop(worker_id, None)
         else:
             self._entries[worker_id] = entry
 
+    def _parse_row(self, worker_id: str, value: bytes) -> WorkerEntry:
+        """Parse an entry; most heartbeats of a fleet change no field that is used."""
+        data = _parse_heartbeat(value)
+        if data == self._parsed.get(worker_id):
+            return self._entries[worker_id]
+        entry = _build_worker_entry(worker_id, data)
+        self._parsed[worker_id] = data
+        return entry
+
 
 def parse_worker_entry(worker_id: str, value: bytes) -> WorkerEntry:
     """Parse the entry of a worker; raise ``InputError`` on an invalid field."""
+    return _build_worker_entry(worker_id, _parse_heartbeat(value))
+
+
+def _parse_heartbeat(value: bytes) -> dict[str, Any]:
+    """Return the fields of an entry without those that each heartbeat changes."""
     data = read_object(parse_bounded_json(value), "entry")
+    read_float(data.pop("sequence", 0), "sequence", 0, MAX_WHOLE)
+    data.pop("clockMs", None)
+    return data
+
+
+def _build_worker_entry(worker_id: str, data: dict[str, Any]) -> WorkerEntry:
     host, port = _parse_address(data.get("address"))
     capacity = read_object(data.get("capacity"), "capacity")
     # The first label is the kind of the worker, the second its rack.
@@ -399,5 +435,5 @@
 def _check_unused_fields(data: dict[str, Any]) -> None:
     """Reject an entry whose other documented fields show another writer."""
     read_text(data.get("version", ""), "version", MAX_NAME_CHARS)
-    for name in ("slots", "coldRemainingMs", "sequence"):
+    for name in ("slots", "coldRemainingMs"):
         read_float(data.get(name, 0), name, 0, MAX_WHOLE)
--- a/hyssopweir/platform/http_row_store.py
+++ b/hyssopweir/platform/http_row_store.py
@@ -18,7 +18,7 @@
     read_text,
 )
 from hyssopweir.platform.json_http_client import JsonHttpClient, Response
-from hyssopweir.platform_client import ExchangeError, ExchangeErrorKind
+from hyssopweir.platform_client import UNSENT_KINDS, ExchangeError
 from hyssopweir.row_store import (
     ABSENT,
     Change,
@@ -38,6 +38,7 @@
 MAX_REPLY_ROWS = 10_000
 
 OK = 200
+SERVER_ERROR = 500
 GONE = 410
 PRECONDITION_FAILED = 412
 # Half of the capacity of a link of 5 Mbit/s, the slowest that instances have.
@@ -94,6 +95,9 @@
                 return Ok(Conflict({row.at: row for row in existing}))
         except InputError as exc:
             return Err(unknown(Code.STORE_OUTCOME_UNKNOWN, f"unreadable reply: {exc}"))
+        if status >= SERVER_ERROR and status not in REJECTED_STATUSES:
+            # Only the statuses of a rejection say that nothing was done.
+            return Err(unknown(Code.STORE_OUTCOME_UNKNOWN, f"status {status}"))
         return Err(_failure_from_response(result.ok_value))
 
     async def read_rows(
@@ -181,7 +185,7 @@
 
 
 def _failure_from_error(error: ExchangeError) -> Failure:
-    if error.kind is ExchangeErrorKind.NOT_CONNECTED:
+    if error.kind in UNSENT_KINDS:
         return not_run(Code.STORE_UNAVAILABLE, str(error))
     return unknown(
         Code.STORE_OUTCOME_UNKNOWN, str(error), received_bytes=error.received_bytes
--- a/hyssopweir/platform_client.py
+++ b/hyssopweir/platform_client.py
@@ -65,11 +65,18 @@
     """Kind of failure of an HTTP exchange."""
 
     NOT_CONNECTED = "no connection could be opened"
+    NO_LISTENER = "no process listens at the address"
     NO_ANSWER = "no complete reply"
     MALFORMED = "malformed HTTP reply"
     TOO_LARGE = "the reply is too large"
 
 
+# Nothing of the request was sent.
+UNSENT_KINDS = frozenset(
+    {ExchangeErrorKind.NOT_CONNECTED, ExchangeErrorKind.NO_LISTENER}
+)
+
+
 class ExchangeError(NamedTuple):
     """Failure of an HTTP exchange; ``status`` is 0 if no status was received."""
 
@@ -170,16 +177,24 @@
         return Err(ExchangeError(ExchangeErrorKind.MALFORMED, _describe(exc)))
     # A port out of range raises OverflowError.
     except (aiohttp.ClientError, OSError, ValueError, OverflowError, EOFError) as exc:
-        kind = (
-            ExchangeErrorKind.NO_ANSWER
-            if progress.connected
-            else ExchangeErrorKind.NOT_CONNECTED
-        )
         return Err(
-            ExchangeError(kind, _describe(exc), received_bytes=progress.received_bytes)
+            ExchangeError(
+                _kind_of(exc, progress),
+                _describe(exc),
+                received_bytes=progress.received_bytes,
+            )
         )
 
 
+def _kind_of(exc: Exception, progress: ConnectionTrace) -> ExchangeErrorKind:
+    if progress.connected:
+        return ExchangeErrorKind.NO_ANSWER
+    cause = exc.os_error if isinstance(exc, aiohttp.ClientConnectorError) else exc
+    if isinstance(cause, ConnectionRefusedError):
+        return ExchangeErrorKind.NO_LISTENER
+    return ExchangeErrorKind.NOT_CONNECTED
+
+
 async def _read_reply(
     response: aiohttp.ClientResponse,
     limit: int,
@@ -464,7 +479,7 @@
 
 
 def _write_failure(error: ExchangeError) -> Failure:
-    if error.kind is ExchangeErrorKind.NOT_CONNECTED:
+    if error.kind in UNSENT_KINDS:
         return _unavailable(str(error))
     return unknown(Code.STORE_OUTCOME_UNKNOWN, str(error))
 
--- a/hyssopweir/step_placement.py
+++ b/hyssopweir/step_placement.py
@@ -6,7 +6,9 @@
 to measure it. Short tasks are spread.
 """
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
+from heapq import heapify, heapreplace
+from typing import NamedTuple
 
 from hyssopweir.clock import Millis
 from hyssopweir.filler_interference import FillerInterference
@@ -34,6 +36,8 @@
 MIN_FILLER_CPU_SHARE = 0.8
 # Cost of a filler that uses all interference headroom of a worker, in the same units.
 HEADROOM_WEIGHT = 1.0
+# Stands for all tasks of a step that have not failed on any of the workers.
+NEW_TASK = Task()
 
 
 def choose_worker_for_step(
@@ -57,6 +61,104 @@
     return best
 
 
+class RankedWorker(NamedTuple):
+    """Worker with its cost for a task, or a lower bound of it if not ``is_exact``.
+
+    ``order`` is its position among the workers, which decides between equal costs.
+    """
+
+    cost: float
+    order: int
+    is_exact: bool
+    load: WorkerLoad
+
+
+class WorkerRanking:
+    """Workers by their cost for the equal tasks of one step.
+
+    Handles wide steps: each placement changes one worker, so that only this worker is
+    compared again for the next task. Valid while nothing else changes the workers.
+    """
+
+    def __init__(
+        self,
+        step: Step,
+        workers: Sequence[WorkerLoad],
+        interference: FillerInterference,
+        now_ms: Millis,
+    ) -> None:
+        self._step = step
+        self._workers = workers
+        self._interference = interference
+        self._now_ms = now_ms
+        self._names = {load.entry.worker_id for load in workers}
+        # Built at the first task, which identifies the step.
+        self._ranked: list[RankedWorker] | None = None
+        self._first_revision = 0
+
+    def choose(self, ref: TaskRef, task: Task) -> WorkerLoad | None:
+        """Return the worker with the lowest cost for a task, None if it should wait.
+
+        The chosen worker may get a run of the task before the next call.
+        """
+        if not task.failed_on.isdisjoint(self._names):
+            self._ranked = None
+            return choose_worker_for_step(
+                ref, self._step, task, self._workers, self._interference, self._now_ms
+            )
+        if self._ranked is None:
+            self._ranked = self._rank_all(ref)
+        ranked = self._ranked
+        self._update_first(ref, ranked)
+        while ranked:
+            best = ranked[0]
+            if best.is_exact:
+                self._first_revision = best.load.revision
+                return best.load if best.cost < float("inf") else None
+            heapreplace(ranked, self._with_headroom(best))
+        return None
+
+    def _rank_all(self, ref: TaskRef) -> list[RankedWorker]:
+        ranked = [
+            self._rank(ref, order, load) for order, load in enumerate(self._workers)
+        ]
+        heapify(ranked)
+        self._first_revision = ranked[0].load.revision if ranked else 0
+        return ranked
+
+    def _update_first(self, ref: TaskRef, ranked: list[RankedWorker]) -> None:
+        """Rank the worker that was chosen last again if it has changed since."""
+        if ranked and ranked[0].load.revision != self._first_revision:
+            heapreplace(ranked, self._rank(ref, ranked[0].order, ranked[0].load))
+
+    def _rank(self, ref: TaskRef, order: int, load: WorkerLoad) -> RankedWorker:
+        step = self._step
+        if not fits(ref, step, load):
+            return RankedWorker(float("inf"), order, True, load)
+        cost = placement_cost(step, NEW_TASK, load, self._interference, self._now_ms)
+        return RankedWorker(cost, order, not step.is_filler, load)
+
+    def _with_headroom(self, ranked: RankedWorker) -> RankedWorker:
+        """Return a worker with its exact cost for a filler.
+
+        The headroom takes longer to compute than the rest of the cost, so it is left
+        out for workers that are never first.
+        """
+        used = self._interference.headroom_fraction(self._step, ranked.load)
+        cost = ranked.cost + HEADROOM_WEIGHT * used
+        return ranked._replace(cost=cost, is_exact=True)
+
+
+def rank_workers(
+    step: Step,
+    workers: Sequence[WorkerLoad],
+    interference: FillerInterference,
+    now_ms: Millis,
+) -> WorkerRanking:
+    """Return the ranking of the workers for the tasks of a step in one pass."""
+    return WorkerRanking(step, workers, interference, now_ms)
+
+
 def fits(ref: TaskRef, step: Step, load: WorkerLoad) -> bool:
     """Return whether a worker meets the constraints of a step and has the capacity."""
     return not _mismatch(ref, step, load)
@@ -68,7 +170,7 @@
 
 
 def _mismatch(ref: TaskRef, step: Step, load: WorkerLoad) -> str:
-    if not load.free.can_fit(step.charge):
+    if not load.has_room_for(step.charge):
         return "no capacity"
     if step.label and step.label not in load.entry.labels:
         return "other label"
--- a/hyssopweir/stragglers.py
+++ b/hyssopweir/stragglers.py
@@ -6,6 +6,7 @@
 checkpointed.
 """
 
+from bisect import bisect_left
 from collections.abc import Iterable
 from statistics import median
 from typing import NamedTuple
@@ -53,21 +54,30 @@
         # The speed of a filler depends on the processor time that other tasks leave.
         if step.is_endless or step.is_filler:
             continue
-        expected = {run: _expected_ms(run) for run in progress.step_runs(key)}
-        done = progress.done_ms.get(key, [])
-        for run, total_ms in expected.items():
-            if total_ms is None:
-                continue
-            others = [ms for other, ms in expected.items() if ms and other is not run]
-            typical_ms = _typical_ms([*done, *others], step)
+        expected = [
+            (run, total_ms)
+            for run in progress.step_runs(key)
+            if (total_ms := _expected_ms(run)) is not None
+        ]
+        if not expected:
+            continue
+        durations = sorted(
+            [*progress.done_ms.get(key, []), *(total_ms for _, total_ms in expected)]
+        )
+        for run, total_ms in expected:
+            typical_ms = _typical_ms(durations, total_ms, step)
             comparisons.append(DurationComparison(run, step, total_ms, typical_ms))
     return comparisons
 
 
-def _typical_ms(others: list[float], step: Step) -> float:
-    if len(others) >= 2:
-        return median(others)
-    return step.estimated_ms * ESTIMATE_FACTOR / LAGGING_FACTOR
+def _typical_ms(durations: list[float], own_ms: float, step: Step) -> float:
+    """Return the median of sorted durations without the run's own one."""
+    others = len(durations) - 1
+    if others < 2:
+        return step.estimated_ms * ESTIMATE_FACTOR / LAGGING_FACTOR
+    own = bisect_left(durations, own_ms)
+    low, high = ((others - 1) // 2, others // 2)
+    return (durations[low + (low >= own)] + durations[high + (high >= own)]) / 2
 
 
 def _expected_ms(run: Run) -> float | None:
--- a/hyssopweir/text_metrics.py
+++ b/hyssopweir/text_metrics.py
@@ -9,7 +9,7 @@
 )
 
 from hyssopweir.clock import SECOND_MS, Millis
-from hyssopweir.events import EventRecord
+from hyssopweir.events import Event, EventRecord
 
 CONTENT_TYPE = "text/plain; version=0.0.4"
 # Bounds in seconds, from one call within a data centre to the longest objective.
@@ -39,6 +39,8 @@
             buckets=BUCKETS,
             registry=self._registry,
         )
+        # The search for the labels takes longer than the increment.
+        self._event_counters: dict[Event, Counter] = {}
         self._dropped = Gauge(
             "hyssopweir_log_lines_dropped",
             "Log lines that were left out.",
@@ -48,7 +50,11 @@
     def record_event(self, record: EventRecord) -> None:
         """Update the counters and histograms from an event."""
         name = record.event.name
-        self._events.labels(name).inc()
+        counter = self._event_counters.get(record.event)
+        if counter is None:
+            counter = self._events.labels(name)
+            self._event_counters[record.event] = counter
+        counter.inc()
         if "code" in record.fields:
             self._refusals.labels(str(record.fields["code"])).inc()
         for field in DURATION_FIELDS:
--- a/hyssopweir/worker_http.py
+++ b/hyssopweir/worker_http.py
@@ -20,6 +20,7 @@
     BAD_REQUEST,
     CONFLICT,
     OK_STATUS,
+    UNSENT_KINDS,
     ExchangeError,
     ExchangeErrorKind,
     HttpReply,
@@ -451,7 +452,7 @@
 
 
 def _failure_from_error(error: ExchangeError, carries_answer: bool) -> Failure:
-    if error.kind is ExchangeErrorKind.NOT_CONNECTED:
+    if error.kind in UNSENT_KINDS:
         return not_run(Code.WORKER_UNREACHABLE, str(error))
     if error.kind is ExchangeErrorKind.NO_ANSWER:
         return unknown(Code.WORKER_UNREACHABLE, str(error))
--- a/hyssopweir/worker_load.py
+++ b/hyssopweir/worker_load.py
@@ -33,6 +33,8 @@
         self.serving_cpu = 0
         self.filler_cpu = 0
         self.filler_ended_ms: Millis = 0
+        # Changes with everything that decisions about the runs depend on, but for time.
+        self.revision = 0
         self._tails_by_image: dict[str, float] | None = None
         self.is_confirmed = False
         self.is_listed = True
@@ -69,7 +71,7 @@
         return run
 
     def _add_counts(self, step: Step, sign: int) -> None:
-        self._tails_by_image = None
+        self.mark_changed()
         if step.is_endless:
             self.servers += sign
             self.serving_cpu += sign * step.room.cpu
@@ -78,10 +80,29 @@
             self.filler_cpu += sign * step.room.cpu
 
     def record_report(self, now_ms: Millis) -> None:
-        """Record the arrival of a report, after which tail latencies are recomputed."""
+        """Record the arrival of a report with new figures of the runs."""
         self.last_report_ms = now_ms
+        self.mark_changed()
+
+    def discard_report(self, now_ms: Millis) -> None:
+        """Place no tasks until the next report: the last one is of an ended process."""
+        self.last_report_ms = min(self.last_report_ms, now_ms - REPORT_TIMEOUT_MS - 1)
+        self.mark_changed()
+
+    def mark_changed(self) -> None:
+        """Invalidate what was computed from the runs, their figures and speeds."""
+        self.revision += 1
         self._tails_by_image = None
 
+    def has_room_for(self, charge: Resources) -> bool:
+        """Return whether an amount fits into the capacity that is not reserved."""
+        room, taken = self.entry.room, self.taken
+        return (
+            charge.cpu <= room.cpu - taken.cpu
+            and charge.memory_mb <= room.memory_mb - taken.memory_mb
+            and charge.accelerators <= room.accelerators - taken.accelerators
+        )
+
     def accepts_tasks(self, now_ms: Millis) -> bool:
         """Return whether new tasks may be placed on the worker."""
         return not self.exclusion(now_ms)
--- a/tests/test_benchmarks.py
+++ b/tests/test_benchmarks.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable, Sequence
+from pathlib import Path
 from typing import Any
 
 import pytest
@@ -18,6 +19,7 @@
 )
 from benchmarks.instances import measure_idle
 from benchmarks.mesh import measure_mesh
+from benchmarks.owner import OwnerLoad, measure_owner
 from benchmarks.slopes import Slope, fit
 from benchmarks.state import (
     measure_configuration,
@@ -98,3 +100,13 @@
     """Guards against measuring a process that has ended."""
     (cost,) = measure_idle((2,), watch_s=0.2)
     assert all(size > 0 for size in cost.rss_bytes.values())
+
+
+def test_owner_runs_the_tasks_of_its_load() -> None:
+    """Guards against a cost of an owner that did not start what it was given."""
+    load = OwnerLoad(workers=4, starts_per_second=30, images=2, seconds=2.0)
+    (cost,) = measure_owner(load, [str(Path(__file__).parents[1])])
+    assert cost.runs >= 30
+    assert cost.done >= 15
+    assert cost.cpu_s > 0
+    assert len(report.owner_table([cost])) == 3
--- a/tests/test_job_isolation.py
+++ b/tests/test_job_isolation.py
@@ -36,7 +36,7 @@
 # Where each decision about a job is made, with the position of the job's data.
 DECISIONS: list[tuple[Any, str]] = [
     (cell_scheduler, "urgency_key"),
-    (cell_scheduler, "choose_worker_for_step"),
+    (cell_scheduler, "rank_workers"),
     (cell_scheduler, "placement_key"),
     (cell_maintenance, "compare_durations"),
     (cell_maintenance, "is_stalled"),
--- a/tests/test_step_placement.py
+++ b/tests/test_step_placement.py
@@ -3,7 +3,11 @@
 import pytest
 
 from hyssopweir.cell_scheduler import urgency_key
-from hyssopweir.filler_interference import IDLE_SHARE_OF_MIN_TAIL, FillerInterference
+from hyssopweir.filler_interference import (
+    IDLE_SHARE_OF_MIN_TAIL,
+    FillerInterference,
+    filler_shares,
+)
 from hyssopweir.filler_pacing import FillerPacing
 from hyssopweir.interference_filter import InterferenceFilter, JobLoad
 from hyssopweir.resources import Resources
@@ -178,12 +182,14 @@
     percents = [change.percent for change in changes] or [100, 100]
     assert all(percent is not None for percent in percents)
     assert all(lower <= (percent or 0) <= upper for percent in percents)
-    step = load.runs[server.ref][1]
+    step, shares = load.runs[server.ref][1], filler_shares(load)
     added = sum(
         interference.added_utilization(FILLER, "shop", load) * (p or 0) / 100
         for p in percents
     )
-    assert added <= max(interference.utilization_budget(server, step, load), 0.0) + 0.01
+    assert (
+        added <= max(interference.utilization_budget(server, step, shares), 0.0) + 0.01
+    )
 
 
 def test_long_overload_stops_all_fillers() -> None:
