--- a/hyssopweir/row_commits.py
+++ b/hyssopweir/row_commits.py
@@ -167,9 +167,10 @@
     async def _transact(self, changes: Sequence[Change]) -> bool:
         sent_ms = self._clock.now_ms()
         reply = await self._store.transact(changes, self.timer.timeout_ms())
-        self.timer.record_reply(reply, self._clock.now_ms() - sent_ms)
+        took_ms = self._clock.now_ms() - sent_ms
+        self.timer.record_reply(reply, took_ms)
         if isinstance(reply, Err):
-            await self._handle_failure(reply.err_value, len(changes))
+            await self._handle_failure(reply.err_value, len(changes), took_ms)
             return False
         outcome = reply.ok_value
         if isinstance(outcome, Committed):
@@ -181,8 +182,12 @@
         self._adopt_versions(changes, outcome)
         return False
 
-    async def _handle_failure(self, failure: Failure, changes: int) -> None:
+    async def _handle_failure(
+        self, failure: Failure, changes: int, took_ms: Millis
+    ) -> None:
         if failure.code is Code.STORE_OUTCOME_UNKNOWN:
+            # A broken connection or a server error comes without any wait.
+            await self._clock.sleep_ms(RETRY_MS - took_ms)
             return
         if failure.code is not Code.STORE_UNAVAILABLE:
             self._log.emit(Event.STORE_REFUSED, rows=changes - 1, detail=failure.detail)
--- a/hyssopweir/workflow_api.py
+++ b/hyssopweir/workflow_api.py
@@ -114,7 +114,11 @@
                 took_ms=self._clock.now_ms() - started_ms,
             )
             return Ok(None)
-        return Err(not_run(Code.CANCELLED, "the job was cancelled before it came"))
+        if cancel in outcome.rows:
+            # No late attempt can store the job any more, either.
+            return Err(not_run(Code.CANCELLED, "the job was cancelled before it came"))
+        detail = "the store refused the job and shows no reason"
+        return Err(unknown(Code.STORE_OUTCOME_UNKNOWN, detail))
 
     async def cancel(self, job: str, time_budget_ms: Millis) -> Result[None, Failure]:
         """Store a cancellation; later submissions of the job are refused."""
@@ -150,7 +154,8 @@
             if reply.err_value.code is Code.STORE_OUTCOME_UNKNOWN:
                 is_uncertain = True
             elif reply.err_value.code is not Code.STORE_UNAVAILABLE:
-                return reply
+                # It tells nothing about an earlier attempt without a reply.
+                return self._retry_failure(is_uncertain, reply.err_value)
             limit_ms = min(
                 UNCERTAIN_RETRY_MS if is_uncertain else UNAVAILABLE_RETRY_MS,
                 time_budget_ms,
@@ -164,7 +169,7 @@
     ) -> Result[Committed | Conflict, Failure]:
         if is_uncertain:
             return Err(unknown(Code.STORE_OUTCOME_UNKNOWN, cause.detail))
-        return Err(not_run(Code.STORE_UNAVAILABLE, cause.detail))
+        return Err(cause)
 
     async def status(
         self, job: str, time_budget_ms: Millis
