Send no command after a pause without a proof; tell lost workers from silent ones

Two replies that no process listens, or that another one does, or a later birth in the list end the runs of a worker at once; it gets no tasks before its next report. Silent workers are called every 0.2 s in place of 0.5 s; runs on unlisted workers that never replied end by the time since the claim, not since the entry vanished. The longest lease of workers is a setting, filled in by the platform. The transfer test that depended on the order of equal timers now sends the submission 10 ms late, so that it plays its case every time.

--- a/hyssopweir/agent_link.py
+++ b/hyssopweir/agent_link.py
@@ -15,28 +15,60 @@
 )
 from hyssopweir.clock import Clock, Millis
 from hyssopweir.events import Event, EventLog
+from hyssopweir.ownership_proof import OwnershipProof
 from hyssopweir.task_state import Run, RunRef
 from hyssopweir.worker_load import WorkerLoad
 
-# Long enough for a new owner to adopt the runs: detection of the failed owner, takeover
-# and one lease renewal. Runs of a lost worker are restarted after this time.
+# Runs survive a loss of contact for this time, less the age of the last renewal and the
+# time until the next one: cuts of 5.5 s. A new owner adopts runs within this time. If a
+# worker is lost without a sign, its tasks wait for it, and must run again within 9 s.
 LEASE_MS: Millis = 4_000
-# Upper bound of a lease that a previous owner of the cell may have granted.
-PREVIOUS_LEASE_MS: Millis = LEASE_MS + 500
+# Difference of a lease that a previous owner may have granted, by its clock reading.
+PREVIOUS_MARGIN_MS: Millis = 500
 # A worker's clock may run 2% slow.
 MIN_CLOCK_RATE = 0.98
-# Maximum lease that a worker grants, measured on a slow clock. A previous owner that
-# was never fenced on the worker may have renewed it until it was superseded.
-UNKNOWN_LEASE_MS: Millis = int(10_000 / MIN_CLOCK_RATE) + 200
-# A worker that is no longer listed is considered lost once all leases granted by a
-# previous owner have expired.
-UNLISTED_LEASE_MS: Millis = int(PREVIOUS_LEASE_MS / MIN_CLOCK_RATE) + 200
+EXPIRY_MARGIN_MS: Millis = 200
 RENEWAL_WAIT_MS: Millis = 700
 RENEWAL_TIMEOUT_MS: Millis = 600
 COMMAND_TIMEOUT_MS: Millis = 600
 COMMIT_WAIT_MS: Millis = 300
 RETRY_MS: Millis = 100
-MAX_RETRY_MS: Millis = 500
+# Together with ``RENEWAL_TIMEOUT_MS``, the longest time until a worker that is back in
+# reach is heard.
+MAX_RETRY_MS: Millis = 200
+UNSTORED_PAUSE_MS: Millis = 500
+# Results that come from the worker's machine and show that its process has ended, and
+# with it all that it ran. A cut or a lost reply never causes them.
+GONE_RESULTS = frozenset({CommandResult.NO_LISTENER, CommandResult.OTHER_LIFE})
+GONE_REPLIES = 2
+MIN_TIMEOUT_MS: Millis = 100
+
+
+class LeaseTimes(NamedTuple):
+    """Length of a lease, and times after which leases of others have expired.
+
+    ``previous_ms`` bounds a lease that a previous owner may have granted. A worker that
+    never replied to this owner has no lease left after ``unknown_ms``, in which a
+    previous owner that was never fenced may have renewed it until it was superseded; if
+    it isn't listed any more, after ``unlisted_ms``.
+    """
+
+    lease_ms: Millis
+    previous_ms: Millis
+    unknown_ms: Millis
+    unlisted_ms: Millis
+
+
+def lease_times(longest_lease_ms: Millis) -> LeaseTimes:
+    """Return the times for workers that grant at most ``longest_lease_ms``."""
+    lease_ms = min(LEASE_MS, longest_lease_ms)
+    previous_ms = lease_ms + PREVIOUS_MARGIN_MS
+    return LeaseTimes(
+        lease_ms,
+        previous_ms,
+        int(longest_lease_ms / MIN_CLOCK_RATE) + EXPIRY_MARGIN_MS,
+        int(previous_ms / MIN_CLOCK_RATE) + EXPIRY_MARGIN_MS,
+    )
 
 
 class ClockReading(NamedTuple):
@@ -67,7 +99,10 @@
         log: EventLog,
         on_lease_reply: LeaseReplyHandler,
         on_fenced: Callable[[], None],
+        proof: OwnershipProof,
+        times: LeaseTimes,
         on_lapsed: Callable[["AgentLink"], None],
+        on_gone: Callable[["AgentLink"], None],
     ) -> None:
         self.load = WorkerLoad(entry)
         self._token = token
@@ -76,11 +111,18 @@
         self._log = log
         self._on_lease_reply = on_lease_reply
         self._on_fenced = on_fenced
+        self._proof = proof
+        self._times = times
         self._on_lapsed = on_lapsed
+        self._on_gone = on_gone
+        # Consecutive replies that the process of the worker no longer exists.
+        self._gone_replies = 0
         self._clock_reading: ClockReading | None = None
         self._lease_until_ms: Millis = 0
         self._acknowledged = 0
         self._is_silent = False
+        # Results of the calls since the worker became silent; each is logged once.
+        self._silent_results: set[CommandResult] = set()
         self._opened_ms = clock.now_ms()
         self._has_lapsed = False
         self.born_ms: Millis = 0
@@ -95,20 +137,27 @@
         if self._clock_reading is None:
             return 0
         passed_ms = self._clock.now_ms() - self._clock_reading.local_ms
-        return self._clock_reading.worker_ms + passed_ms + LEASE_MS
+        return self._clock_reading.worker_ms + passed_ms + self._times.lease_ms
 
     def has_lapsed(self) -> bool:
         """Return whether all leases have certainly expired on the worker's clock."""
-        now_ms = self._clock.now_ms()
-        if self._clock_reading is None:
-            return now_ms - self._opened_ms > UNKNOWN_LEASE_MS
-        passed_ms = int((now_ms - self._clock_reading.local_ms) * MIN_CLOCK_RATE)
-        return self._clock_reading.worker_ms + passed_ms > self._lease_until_ms
+        return self._lapses_in_ms() <= 0
+
+    def _lapses_in_ms(self) -> Millis:
+        """Return the time until all leases have certainly expired, negative after."""
+        reading = self._clock_reading
+        if reading is None:
+            since_ms, duration_ms = self._opened_ms, self._times.unknown_ms
+        else:
+            lease_ms = self._lease_until_ms - reading.worker_ms
+            since_ms, duration_ms = reading.local_ms, int(lease_ms / MIN_CLOCK_RATE)
+        return since_ms + duration_ms + 1 - self._clock.now_ms()
 
     async def run(self) -> None:
         """Renew the lease until cancelled."""
         wait_ms, pause_ms = 0, RETRY_MS
         while True:
+            await self._proof.wait_valid()
             sent_ms = self._clock.now_ms()
             # A request without a reply may still renew the lease. A silent worker gets
             # no further renewal, or its lease would never be certain to expire.
@@ -121,12 +170,12 @@
                 0 if self._is_silent else self._acknowledged,
                 lease_until_ms,
                 wait_ms,
-                wait_ms + RENEWAL_TIMEOUT_MS,
+                wait_ms + self._timeout_ms(),
             )
             if isinstance(reply, Err):
                 self._handle_renewal_error(reply.err_value)
                 wait_ms = 0
-                await self._clock.sleep_ms(pause_ms)
+                await self._clock.sleep_ms(self._before_expiry(pause_ms))
                 pause_ms = min(2 * pause_ms, MAX_RETRY_MS)
                 continue
             pause_ms = RETRY_MS
@@ -134,7 +183,18 @@
             is_stored = await self._process_reply(reply.ok_value, sent_ms)
             wait_ms = RENEWAL_WAIT_MS if is_stored and not is_first else 0
             if not is_stored:
-                await self._clock.sleep_ms(MAX_RETRY_MS)
+                await self._clock.sleep_ms(UNSTORED_PAUSE_MS)
+
+    def _timeout_ms(self) -> Millis:
+        """Return the timeout of a renewal, without its wait for an ended run."""
+        if not self._is_silent:
+            return RENEWAL_TIMEOUT_MS
+        return max(self._before_expiry(RENEWAL_TIMEOUT_MS), MIN_TIMEOUT_MS)
+
+    def _before_expiry(self, limit_ms: Millis) -> Millis:
+        """Return a time that ends when the leases expire, if it would end later."""
+        left_ms = self._lapses_in_ms()
+        return min(limit_ms, left_ms) if left_ms > 0 else limit_ms
 
     async def _process_reply(self, lease_reply: LeaseReply, sent_ms: Millis) -> bool:
         """Process a lease reply; return whether all ended runs in it are stored."""
@@ -144,11 +204,13 @@
             self.born_ms = lease_reply.born_ms
             self._lease_until_ms = 0
         if self._clock_reading is None:
-            self._lease_until_ms = lease_reply.clock_ms + PREVIOUS_LEASE_MS
+            self._lease_until_ms = lease_reply.clock_ms + self._times.previous_ms
         self._clock_reading = ClockReading(lease_reply.clock_ms, now_ms)
         self._has_lapsed = False
+        self._gone_replies = 0
         if self._is_silent:
             self._is_silent = False
+            self._silent_results.clear()
             self._log.emit(Event.WORKER_HEARD, worker=self.entry.worker_id)
         ends_stored = self._on_lease_reply(self, lease_reply, sent_ms)
         if ends_stored is None:
@@ -165,20 +227,32 @@
         if result is CommandResult.FENCED:
             self._on_fenced()
             return
-        if not self._is_silent:
-            self._is_silent = True
+        self._is_silent = True
+        if result not in self._silent_results:
+            self._silent_results.add(result)
             self._log.emit(
                 Event.WORKER_SILENT,
                 worker=self.entry.worker_id,
                 verdict=result.value,
                 runs=len(self.load.runs),
             )
+        self._gone_replies = self._gone_replies + 1 if result in GONE_RESULTS else 0
+        if self._gone_replies == GONE_REPLIES:
+            self._on_gone(self)
         if self.has_lapsed() and not self._has_lapsed:
             self._has_lapsed = True
             self._on_lapsed(self)
 
+    async def wait_owned(self) -> None:
+        """Wait until the ownership is proven to have lasted beyond any pause."""
+        await self._proof.wait_valid()
+
     async def start(self, run: Run, payload: str, saved: str) -> CommandResult:
-        """Start a run; it may still start later only if the result is ``UNKNOWN``."""
+        """Start a run; it may still start later only if the result is ``UNKNOWN``.
+
+        Call it right after ``wait_owned``. The expiry of the lease is computed at once,
+        so that a start that is delayed afterwards finds it expired.
+        """
         lease_until_ms = self.lease_until_ms()
         self._lease_until_ms = max(self._lease_until_ms, lease_until_ms)
         run.record_start_sent(self._clock.now_ms())
@@ -191,6 +265,7 @@
 
     async def stop(self, ref: RunRef) -> CommandResult:
         """Stop a run, or prevent it from starting later."""
+        await self._proof.wait_valid()
         result = await self._agent.stop(
             self.entry, ref, self._token, COMMAND_TIMEOUT_MS
         )
@@ -200,6 +275,7 @@
 
     async def pace(self, run: Run, percent: int) -> CommandResult:
         """Limit a run to a percentage of its full speed."""
+        await self._proof.wait_valid()
         return await self._agent.pace(
             self.entry, run.ref, percent, self._token, COMMAND_TIMEOUT_MS
         )
--- a/hyssopweir/cell.py
+++ b/hyssopweir/cell.py
@@ -7,7 +7,7 @@
 
 from result import Err
 
-from hyssopweir.agent_link import UNLISTED_LEASE_MS, AgentLink
+from hyssopweir.agent_link import AgentLink, lease_times
 from hyssopweir.agents import Agent, WorkerEntry
 from hyssopweir.call_failures import CallFailures
 from hyssopweir.cell_heartbeats import CellHeartbeats, Heartbeat
@@ -37,6 +37,7 @@
     encode_transfer,
     spare_capacity,
 )
+from hyssopweir.ownership_proof import OwnershipProof
 from hyssopweir.row_commits import OwnershipLostError, RowCommits, commit_pause_ms
 from hyssopweir.row_store import (
     ABSENT,
@@ -65,6 +66,7 @@
 # An idle worker that is missing from the listing is dropped after this time.
 UNLISTED_DROP_MS: Millis = 15_000
 HANDOVER_TIMEOUT_MS: Millis = 700
+LONGEST_LEASE_MS: Millis = 10_000
 # A fault that recurs with each reply leaves time for a renewal well within a lease.
 LINK_RESTART_MS: Millis = 500
 UNFINISHED_STATES = (WorkflowState.PENDING, WorkflowState.ACTIVE)
@@ -76,6 +78,7 @@
     ``life`` identifies one process lifetime of the instance. ``writes_per_second`` is
     the store's write rate for all instances together. A small instance waits for
     ``claim_delay_ms`` before it claims a vacant cell, so that larger ones go first.
+    Workers grant leases of at most ``longest_lease_ms``.
     """
 
     instance: str
@@ -83,6 +86,7 @@
     retention_ms: Millis
     writes_per_second: float
     claim_delay_ms: Millis = 0
+    longest_lease_ms: Millis = LONGEST_LEASE_MS
 
 
 class CellClaim(NamedTuple):
@@ -117,6 +121,7 @@
         self._clock = clock
         self._log = log
         self.state = CellState(name, claim.grant.epoch, clock, log)
+        self._proof = OwnershipProof(name, clock, log)
         self.state.commits = RowCommits(
             store,
             claim.grant.guard,
@@ -141,6 +146,8 @@
             self._task_transfers,
             settings.retention_ms,
         )
+        self._times = lease_times(settings.longest_lease_ms)
+        self._claimed_ms = clock.now_ms()
         self._ownership_lost = asyncio.Event()
         self._link_tasks: dict[str, asyncio.Task[None]] = {}
         self._unlisted_since_ms: dict[str, Millis] = {}
@@ -168,6 +175,7 @@
         loop = asyncio.get_running_loop()
         # Start heartbeats before recovery so that other instances see the new owner.
         tasks.append(loop.create_task(self._send_heartbeats()))
+        tasks.append(loop.create_task(self._proof.run()))
         try:
             await self._recover()
             coroutines = (
@@ -209,10 +217,12 @@
         while True:
             self._heartbeat_requested.clear()
             heartbeat = self._next_heartbeat()
+            sent_ms = self._clock.boot_ms()
             outcome = await heartbeats.write(self.state.cell, heartbeat)
             self._heartbeat_version = outcome.version
             if not outcome.is_stored:
                 continue
+            self._proof.record_proof(sent_ms)
             if heartbeat.is_released:
                 self._release_stored.set()
             requested = asyncio.ensure_future(self._heartbeat_requested.wait())
@@ -424,6 +434,9 @@
             if link.entry != entry:
                 link.load.entry = entry
                 self.state.wake.set()
+                # An entry may be older than the last reply.
+                if entry.born_ms > link.born_ms > 0:
+                    self._reports.detect_restart(link, entry.born_ms)
         self._lapse_replaced(entries)
         now_ms = self._clock.now_ms()
         for worker_id, link in list(self.state.links.items()):
@@ -446,7 +459,10 @@
             self._log,
             self._reports.process_lease_reply,
             self._ownership_lost.set,
+            self._proof,
+            self._times,
             lambda link: self._reports.lapse_all(link, "lease has expired"),
+            self._reports.end_lost_runs,
         )
         self.state.links[entry.worker_id] = link
         loop = asyncio.get_running_loop()
@@ -471,6 +487,7 @@
         self._log.emit(Event.WORKER_GONE, worker=worker_id)
         self._link_tasks.pop(worker_id).cancel()
         del self.state.links[worker_id]
+        self.state.interference_model.forget_worker(worker_id)
         self._unlisted_since_ms.pop(worker_id, None)
 
     def _lapse_replaced(self, entries: Mapping[str, WorkerEntry]) -> None:
@@ -488,7 +505,13 @@
     def _lapse_unreported(
         self, entries: Mapping[str, WorkerEntry], now_ms: Millis
     ) -> None:
-        """End runs on workers that are unlisted and never reported to this owner."""
+        """End runs on workers that are unlisted and never reported to this owner.
+
+        This owner granted them no lease, and those of previous ones have expired,
+        whenever the entry of the worker disappeared.
+        """
+        if now_ms - self._claimed_ms <= self._times.unlisted_ms:
+            return
         silent_workers = {
             run.worker
             for progress in self.state.jobs.values()
@@ -496,9 +519,7 @@
             if run.worker not in entries and not self._has_reported(run.worker)
         }
         for worker_id in silent_workers:
-            since_ms = self._unlisted_since_ms.setdefault(worker_id, now_ms)
-            if now_ms - since_ms > UNLISTED_LEASE_MS:
-                self._reports.lapse_unlisted(worker_id)
+            self._reports.lapse_unlisted(worker_id)
 
     def _has_reported(self, worker_id: str) -> bool:
         link = self.state.links.get(worker_id)
--- a/hyssopweir/clock.py
+++ b/hyssopweir/clock.py
@@ -21,6 +21,10 @@
         """Return milliseconds since the Unix epoch."""
         return time.time_ns() // 1_000_000
 
+    def boot_ms(self) -> Millis:
+        """Return monotonic milliseconds that also count while the machine sleeps."""
+        return time.clock_gettime_ns(time.CLOCK_BOOTTIME) // 1_000_000
+
     async def sleep_ms(self, delay_ms: Millis) -> None:
         """Sleep for ``delay_ms``; a negative delay counts as zero."""
         await asyncio.sleep(max(delay_ms, 0) / SECOND_MS)
--- a/hyssopweir/platform/instance.py
+++ b/hyssopweir/platform/instance.py
@@ -64,6 +64,7 @@
                 settings.keep_ms,
                 settings.store_writes_per_second,
                 claim_delay_ms(settings.processors, settings.link_mbps),
+                settings.longest_lease_ms,
             ),
             store,
             HttpAgent(self._client, self._log),
--- a/hyssopweir/platform/settings.py
+++ b/hyssopweir/platform/settings.py
@@ -8,6 +8,7 @@
 
 from result import Err, Ok, Result
 
+from hyssopweir.cell import LONGEST_LEASE_MS
 from hyssopweir.clock import Millis
 from hyssopweir.codes import Code
 from hyssopweir.input_bounds import MAX_PORT, InputError, input_errors, read_int
@@ -30,6 +31,7 @@
     store_writes_per_second: float
     processors: float
     link_mbps: float
+    longest_lease_ms: Millis
     lines_per_second: int
     log_level: str
 
@@ -75,6 +77,7 @@
         store_writes_per_second=data.get("store_writes_per_second", 500.0),
         processors=data.get("processor_share", 1.0) * data.get("processors", 1),
         link_mbps=data.get("link_mbps", 1_000.0),
+        longest_lease_ms=data.get("longest_lease_ms", LONGEST_LEASE_MS),
         lines_per_second=data.get("lines_per_second", 300),
         log_level=data.get("log_level", "INFO"),
     )
--- a/hyssopweir/run_commands.py
+++ b/hyssopweir/run_commands.py
@@ -61,6 +61,9 @@
                 self._tasks.spawn(self._start(run, link))
 
     async def _start(self, run: Run, link: AgentLink) -> None:
+        await link.wait_owned()
+        if not run.is_unsent():
+            return
         found = self._state.find(run.ref.task)
         if found is None or found[0].is_final() or self.is_closed:
             self.void(run, link, "job has ended or owner is stopping")
@@ -158,6 +161,7 @@
         run.pace = percent
         run.is_pace_known = True
         run.changed_ms = self._state.now_ms()
+        link.load.mark_changed()
         if not run.is_pacing:
             run.is_pacing = True
             self._tasks.spawn(self._pace(run, link))
--- a/hyssopweir/run_reports.py
+++ b/hyssopweir/run_reports.py
@@ -1,6 +1,7 @@
 """Updates of the runs of a cell from the reports of workers."""
 
 import asyncio
+from collections.abc import Set
 
 from hyssopweir.agent_link import AgentLink
 from hyssopweir.agents import EndedRun, LeaseReply, RunStatus
@@ -26,8 +27,8 @@
         """Process a lease reply; the future completes once ended runs are stored."""
         if not link.load.is_confirmed:
             self._admit(link)
-        self._detect_restart(link, lease_reply)
         listed = {run.ref for run in lease_reply.running}
+        self.detect_restart(link, lease_reply.born_ms, listed)
         for report in lease_reply.running:
             with self._state.guard_task(report.ref.task):
                 self._process_running(link, report, lease_reply.born_ms)
@@ -64,20 +65,44 @@
         )
         self._state.wake.set()
 
-    def _detect_restart(self, link: AgentLink, lease_reply: LeaseReply) -> None:
-        """End the runs that were lost when the worker restarted."""
+    def detect_restart(
+        self, link: AgentLink, born_ms: Millis, listed: Set[RunRef] = frozenset()
+    ) -> None:
+        """End the runs that were lost when the worker restarted.
+
+        A worker that can't be reached tells of its restart by its entry in the list.
+        ``listed`` are the runs that the restarted worker reports.
+        """
         worker_id = link.entry.worker_id
         previous_born_ms = self._born_ms_by_worker.get(worker_id)
-        self._born_ms_by_worker[worker_id] = lease_reply.born_ms
-        if previous_born_ms is None or previous_born_ms == lease_reply.born_ms:
+        self._born_ms_by_worker[worker_id] = born_ms
+        if previous_born_ms is None or previous_born_ms == born_ms:
             return
         self._state.log.emit(Event.WORKER_RESTARTED, worker=worker_id)
-        listed = {run.ref for run in lease_reply.running}
+        self._end_lost_runs(link, listed)
+
+    def end_lost_runs(self, link: AgentLink) -> None:
+        """End the runs of a worker whose process has certainly ended."""
+        self._state.log.emit(
+            Event.WORKER_LAPSED,
+            worker=link.entry.worker_id,
+            runs=len(link.load.runs),
+            reason="its process has ended",
+        )
+        if link.load.is_confirmed:
+            self._end_lost_runs(link, frozenset())
+            return
+        # No run of a previous owner was reserved here yet.
+        for run in list(self._state.runs_on(link.entry.worker_id)):
+            self.lapse(link, run.ref)
+
+    def _end_lost_runs(self, link: AgentLink, listed: Set[RunRef]) -> None:
+        link.load.discard_report(self._state.now_ms())
         for run, _ in list(link.load.runs.values()):
             if run.ref in listed or run.phase in (RunPhase.RECORDED, RunPhase.ORDERED):
                 continue
             if run.phase is RunPhase.UNCERTAIN and not run.is_closed:
-                # The restarted worker may still receive the start command.
+                # A restarted worker may still receive the start command.
                 continue
             self.lapse(link, run.ref)
 
--- a/hyssopweir/task_state.py
+++ b/hyssopweir/task_state.py
@@ -124,6 +124,10 @@
         """Return whether the run is starting or running as far as is known."""
         return self.phase in (RunPhase.RECORDED, RunPhase.ORDERED, RunPhase.RUNNING)
 
+    def is_unsent(self) -> bool:
+        """Return whether no start command was sent and the run isn't over."""
+        return self.phase is RunPhase.RECORDED
+
     def may_change_pace_late(self, percent: int, sent_ms: Millis) -> bool:
         """Return whether a command can override ``percent``, sent at ``sent_ms``."""
         return any(
--- a/tests/agent_fakes.py
+++ b/tests/agent_fakes.py
@@ -239,9 +239,17 @@
         self._clock = clock
         self._random = Random(seed)
         self.is_cut = False
+        # Workers that this instance alone can't reach.
+        self.cut_workers: set[str] = set()
+        # Workers whose process has ended, and what their machine replies.
+        self.gone_workers: set[str] = set()
+        self.gone_result = CommandResult.NO_LISTENER
 
     async def _reach(self, worker: WorkerEntry, timeout_ms: Millis) -> bool:
         await self._clock.sleep_ms(LATENCY_MS)
+        if worker.worker_id in self.cut_workers:
+            await self._clock.sleep_ms(timeout_ms)
+            return False
         if self.is_cut or self._workers[worker.worker_id].is_cut:
             await self._clock.sleep_ms(timeout_ms)
             return False
@@ -255,6 +263,8 @@
     ) -> CommandResult:
         if not await self._reach(worker, timeout_ms):
             return CommandResult.UNKNOWN
+        if worker.worker_id in self.gone_workers:
+            return self.gone_result
         fake = self._workers[worker.worker_id]
         if self._is_late(fake):
             delay_s = 2 + 10 * self._random.random()
@@ -268,6 +278,8 @@
     ) -> CommandResult:
         if not await self._reach(worker, timeout_ms):
             return CommandResult.UNKNOWN
+        if worker.worker_id in self.gone_workers:
+            return self.gone_result
         fake = self._workers[worker.worker_id]
         if self._is_late(fake):
             delay_s = 2 + 10 * self._random.random()
@@ -286,6 +298,8 @@
     ) -> CommandResult:
         if not await self._reach(worker, timeout_ms):
             return CommandResult.UNKNOWN
+        if worker.worker_id in self.gone_workers:
+            return self.gone_result
         fake = self._workers[worker.worker_id]
         if percent in fake.late_paces:
             delay_s = fake.late_paces.pop(percent) / 1_000
@@ -306,6 +320,8 @@
     ) -> Result[LeaseReply, CommandResult]:
         if not await self._reach(worker, timeout_ms):
             return Err(CommandResult.UNKNOWN)
+        if worker.worker_id in self.gone_workers:
+            return Err(self.gone_result)
         fake = self._workers[worker.worker_id]
         limit_ms = self._clock.now_ms() + wait_ms
         life = fake.lives
@@ -314,8 +330,9 @@
             if isinstance(reply, CommandResult) or reply.ended:
                 break
             await self._clock.sleep_ms(POLL_MS)
-            if fake.lives != life:
-                # A restart of the worker closes the connection.
+            is_lost = worker.worker_id in self.cut_workers | self.gone_workers
+            if fake.lives != life or is_lost:
+                # A restart of the worker closes the connection; a cut loses the reply.
                 return Err(CommandResult.UNKNOWN)
             reply = fake.renew_leases(token, acknowledged, lease_until_ms)
         if isinstance(reply, CommandResult):
--- a/tests/cell_simulation.py
+++ b/tests/cell_simulation.py
@@ -73,6 +73,23 @@
         )
 
 
+class InstanceClock(VirtualClock):
+    """Clock of one instance, whose process does not run while it is frozen."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.is_frozen = False
+
+    async def sleep_ms(self, delay_ms: int) -> None:
+        await self.wait_thawed()
+        await super().sleep_ms(delay_ms)
+        await self.wait_thawed()
+
+    async def wait_thawed(self) -> None:
+        while self.is_frozen:
+            await super().sleep_ms(1)
+
+
 class FakeInstance:
     """Runs the real workflow API and cell host, and can crash or partition them."""
 
@@ -82,28 +99,29 @@
         self.faults = RowFaults(seed)
         self.faults.max_value_bytes = MAX_ROW_BYTES
         self.start_count = 0
-        self.agent = FakeAgent(simulation.workers, simulation.clock, seed)
+        self.clock = InstanceClock()
+        self.agent = FakeAgent(simulation.workers, self.clock, seed)
         self._tasks: list[asyncio.Task[None]] = []
         self.start()
 
     def start(self) -> None:
         self.start_count += 1
-        store = FakeRowStore(self._simulation.rows, self._simulation.clock, self.faults)
-        log = EventLog(self.name, "kista", self._simulation.clock)
+        store = FakeRowStore(self._simulation.rows, self.clock, self.faults)
+        log = EventLog(self.name, "kista", self.clock)
         log.subscribe(self._simulation.records.append)
-        self.api = WorkflowApi(store, self._simulation.clock, log)
+        self.api = WorkflowApi(store, self.clock, log)
         life = f"{self.name}-{self.start_count}"
         self.host = CellHost(
             HostSettings(self.name, life, 120_000, WRITES_PER_SECOND),
             store,
             self.agent,
             lambda: self._simulation.new_listing(store, log),
-            self._simulation.clock,
+            self.clock,
             log,
         )
         heartbeats = CellHeartbeats(
             store,
-            self._simulation.clock,
+            self.clock,
             self._simulation.layout.size,
             self.api.record_store_reply,
             log,
@@ -122,7 +140,7 @@
             reply = await store.watch("op", 0, WATCH_MS, 2 * WATCH_MS)
             if isinstance(reply, Ok):
                 self.api.record_store_reply()
-            await self._simulation.clock.sleep_ms(10)
+            await self.clock.sleep_ms(10)
 
     async def crash(self) -> None:
         for task in self._tasks:
@@ -133,6 +151,10 @@
     def owns(self) -> bool:
         return bool(self.host.owned)
 
+    def set_frozen(self, is_frozen: bool) -> None:
+        """Stop the process or let it run again; calls in progress wait in it."""
+        self.clock.is_frozen = is_frozen
+
     def set_cut(self, is_cut: bool) -> None:
         self.faults.is_silent = is_cut
         self.agent.is_cut = is_cut
--- a/tests/platform_cluster.py
+++ b/tests/platform_cluster.py
@@ -248,6 +248,7 @@
             store_writes_per_second=600.0,
             processors=1.0,
             link_mbps=1_000.0,
+            longest_lease_ms=10_000,
             lines_per_second=100,
             log_level="ERROR",
         )
--- a/tests/test_job_transfers.py
+++ b/tests/test_job_transfers.py
@@ -2,9 +2,11 @@
 
 import asyncio
 from random import Random
+from typing import Any
 
 import pytest
 
+from hyssopweir.cell_requests import CellRequests
 from hyssopweir.events import Event
 from hyssopweir.workflow_progress import WorkflowState
 from tests.cell_simulation import (
@@ -18,6 +20,7 @@
 
 SLOW_STORE_MS = 100
 RETRY_MS = 50
+LATE_SUBMISSION_MS = 10
 # Times that the users allow from an acknowledged cancellation to the last start of a
 # task, and to the end of all runs.
 START_LIMIT_MS = 4_000
@@ -120,9 +123,20 @@
 
 @pytest.mark.parametrize("after_ms", range(790, 890, 10))
 def test_cancelled_transfer_that_a_new_owner_resumes_ends_the_job(
-    after_ms: int,
+    monkeypatch: pytest.MonkeyPatch, after_ms: int
 ) -> None:
-    """Guards against a new owner that sends the cancellation before the job."""
+    """Guards against a new owner that sends the cancellation before the job.
+
+    It sends both at the same time; without the delay, the order of equal timers of the
+    event loop would decide which of them is stored first.
+    """
+    submit_request = CellRequests.submit
+
+    async def submit_late(*args: Any, **kwargs: Any) -> bool:
+        await asyncio.sleep(LATE_SUBMISSION_MS / 1_000)
+        return await submit_request(*args, **kwargs)
+
+    monkeypatch.setattr(CellRequests, "submit", submit_late)
 
     async def run_scenario() -> None:
         simulation, job = await build_full_cell(1, SLOW_STORE_MS)
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -4,7 +4,6 @@
 import json
 import os
 import signal
-import socket
 import subprocess
 import sys
 from typing import IO, Any
@@ -40,6 +39,7 @@
     WorkerServer,
     running_platform,
 )
+from tests.ports import free_ports
 
 ROW_KEY = RowKey("jobs", "c0", "a")
 JOB = "5c0e7a21d94b36f8"
@@ -175,7 +175,8 @@
         async with running_platform() as cluster:
             entry = worker_entry(cluster)._replace(port=free_ports(1)[0])
             agent = HttpAgent(cluster.client, cluster.log())
-            assert await agent.stop(entry, RUN_REF, 1, 500) is CommandResult.NOT_SENT
+            refused = await agent.stop(entry, RUN_REF, 1, 500)
+            assert refused is CommandResult.NO_LISTENER
             replaced = worker_entry(cluster, "i-2")
             assert (
                 await agent.stop(replaced, RUN_REF, 1, 500) is CommandResult.OTHER_LIFE
@@ -318,16 +319,6 @@
     assert {fault.code for fault in faults} == {Code.SETTINGS_INVALID}
 
 
-def free_ports(count: int) -> list[int]:
-    sockets = [socket.socket() for _ in range(count)]
-    for sock in sockets:
-        sock.bind((HOST, 0))
-    ports = [sock.getsockname()[1] for sock in sockets]
-    for sock in sockets:
-        sock.close()
-    return ports
-
-
 async def wait_for_status(
     session: aiohttp.ClientSession, url: str, status: int, body: bytes = b""
 ) -> str:
--- a/tests/virtual_time.py
+++ b/tests/virtual_time.py
@@ -48,6 +48,9 @@
     def wall_ms(self) -> Millis:
         return self.now_ms() + self.skew_ms
 
+    def boot_ms(self) -> Millis:
+        return self.now_ms()
+
 
 def run_virtual(
     main: Coroutine[Any, Any, T],
