Leave vacant cells to instances that own none

Change: one claim a pass; an owner waits 1.5 s, longer than the slowest instance without a cell takes, and 0.3 s for each further cell.

--- a/hyssopweir/cell_host.py
+++ b/hyssopweir/cell_host.py
@@ -29,8 +29,12 @@
 # store claim first.
 REPLY_DELAY_FACTOR = 4
 MAX_REPLY_DELAY_MS: Millis = 250
-# Added to the claim delay for each cell that the instance already owns.
-OWNED_CELL_DELAY_MS: Millis = 600
+# Added to the claim delay of an instance that owns a cell: longer than the slowest
+# instance without one takes to notice and claim a vacant cell. Owners of two cells each
+# were busy all the time on a fleet where 91 instances had none.
+OWNER_CLAIM_DELAY_MS: Millis = 1_500
+# Added for each further cell that it owns, so that the least loaded owner goes first.
+OWNED_CELL_DELAY_MS: Millis = 300
 # Range of the claim jitter; it spans the time within which a claim becomes visible.
 CLAIM_JITTER_MS: Millis = 300
 
@@ -74,7 +78,9 @@
                 detector.record_heartbeats(reply.ok_value, sent_ms - read_ms)
                 read_ms = sent_ms
                 for cell in self._claimable(layout, heartbeats, detector):
-                    await self._claim(cell, layout, heartbeats, detector)
+                    if await self._claim(cell, layout, heartbeats, detector):
+                        # An owner waits longer than others for the next cell.
+                        break
                 await self._clock.sleep_ms(self._poll_delay_ms(layout))
         finally:
             self._tasks.close()
@@ -124,8 +130,11 @@
         jitter_ms = (
             zlib.crc32(f"{cell}/{self._settings.instance}".encode()) % CLAIM_JITTER_MS
         )
-        owned_ms = OWNED_CELL_DELAY_MS * len(self.owned)
-        return delay_ms + jitter_ms + owned_ms + self._settings.claim_delay_ms
+        delay_ms += jitter_ms + self._settings.claim_delay_ms
+        if not self.owned:
+            return delay_ms
+        further_cells = len(self.owned) - 1
+        return delay_ms + OWNER_CLAIM_DELAY_MS + OWNED_CELL_DELAY_MS * further_cells
 
     async def _claim(
         self,
@@ -133,7 +142,8 @@
         layout: CellLayout,
         heartbeats: CellHeartbeats,
         detector: FailureDetector,
-    ) -> None:
+    ) -> bool:
+        """Claim a cell and run it; return whether the claim succeeded."""
         ownership = self._ownerships.get(cell)
         if ownership is None:
             ownership = CellOwnership(
@@ -148,16 +158,17 @@
         heartbeat = heartbeats.known.get(cell)
         grant = await ownership.claim(heartbeat, detector.silent_ms(cell))
         if grant is None:
-            return
+            return False
         if self._is_released:
             await ownership.release(grant)
-            return
+            return False
         del self._vacant_since_ms[cell]
         owned = self._new_cell(
             cell, layout, CellClaim(grant, ownership, heartbeats, heartbeat)
         )
         self.owned[cell] = owned
         self._tasks.spawn(self._run_cell(cell, owned))
+        return True
 
     def _new_cell(self, cell: str, layout: CellLayout, claim: CellClaim) -> Cell:
         return Cell(
--- a/tests/test_cell_layout.py
+++ b/tests/test_cell_layout.py
@@ -269,3 +269,38 @@
         assert await simulation.state(job) is None
 
     run_virtual(run_scenario())
+
+
+@pytest.mark.parametrize("seed", range(10))
+@pytest.mark.parametrize("late_ms", [0, 300, 900])
+def test_cells_are_claimed_by_different_instances(seed: int, late_ms: int) -> None:
+    """Guards against owners of several cells next to instances without any.
+
+    On large/, three of six instances that learned of the layout first claimed two cells
+    each within 150 ms; most of the 97 instances learned of it a second later.
+    """
+
+    async def run_scenario() -> None:
+        simulation = CellSimulation(workers=8, instances=8, seed=seed, cells=4)
+        late = simulation.instances[2:]
+        for instance in late:
+            await instance.crash()
+        await simulation.sleep_ms(late_ms)
+        for instance in late:
+            instance.start()
+        await simulation.sleep_ms(4_000)
+        owned = [len(instance.host.owned) for instance in simulation.instances]
+        assert sorted(owned) == [0, 0, 0, 0, 1, 1, 1, 1]
+
+    run_virtual(run_scenario())
+
+
+def test_only_instance_claims_all_cells() -> None:
+    """Guards against cells that stay vacant while the other instances are down."""
+
+    async def run_scenario() -> None:
+        simulation = CellSimulation(workers=16, instances=1, cells=8)
+        await simulation.sleep_ms(5_000)
+        assert len(simulation.instances[0].host.owned) == 8
+
+    run_virtual(run_scenario())
