--- a/hyssopweir/agent_link.py
+++ b/hyssopweir/agent_link.py
@@ -19,14 +19,17 @@
 from hyssopweir.task_state import Run, RunRef
 from hyssopweir.worker_load import WorkerLoad
 
-# Runs survive a loss of contact for this time, less the age of the last renewal and the
-# time until the next one: cuts of 5.5 s. A new owner adopts runs within this time. If a
-# worker is lost without a sign, its tasks wait for it, and must run again within 9 s.
+# Long enough for a new owner to adopt the runs. Runs survive a loss of contact for this
+# time, less the age of the last renewal and the time until the next one. If a worker is
+# lost without a sign, its tasks wait for this time.
 LEASE_MS: Millis = 4_000
-# Difference of a lease that a previous owner may have granted, by its clock reading.
+# The longest lease that workers grant unless the settings say otherwise.
+LONGEST_LEASE_MS: Millis = 10_000
+# By how much a lease of a previous owner may exceed the own estimate of its end.
 PREVIOUS_MARGIN_MS: Millis = 500
 # A worker's clock may run 2% slow.
 MIN_CLOCK_RATE = 0.98
+# Added to the time after which a lease of another owner counts as expired.
 EXPIRY_MARGIN_MS: Millis = 200
 RENEWAL_WAIT_MS: Millis = 700
 RENEWAL_TIMEOUT_MS: Millis = 600
@@ -36,11 +39,14 @@
 # Together with ``RENEWAL_TIMEOUT_MS``, the longest time until a worker that is back in
 # reach is heard.
 MAX_RETRY_MS: Millis = 200
+# Pause before ended runs that are not stored yet are asked for again.
 UNSTORED_PAUSE_MS: Millis = 500
 # Results that come from the worker's machine and show that its process has ended, and
 # with it all that it ran. A cut or a lost reply never causes them.
 GONE_RESULTS = frozenset({CommandResult.NO_LISTENER, CommandResult.OTHER_LIFE})
+# So many in a row end the runs of the worker.
 GONE_REPLIES = 2
+# Timeout of a renewal shortly before the lease expires.
 MIN_TIMEOUT_MS: Millis = 100
 
 
--- a/hyssopweir/cell.py
+++ b/hyssopweir/cell.py
@@ -7,7 +7,7 @@
 
 from result import Err
 
-from hyssopweir.agent_link import AgentLink, lease_times
+from hyssopweir.agent_link import LONGEST_LEASE_MS, AgentLink, lease_times
 from hyssopweir.agents import Agent, WorkerEntry
 from hyssopweir.call_failures import CallFailures
 from hyssopweir.cell_heartbeats import CellHeartbeats, Heartbeat
@@ -66,7 +66,6 @@
 # An idle worker that is missing from the listing is dropped after this time.
 UNLISTED_DROP_MS: Millis = 15_000
 HANDOVER_TIMEOUT_MS: Millis = 700
-LONGEST_LEASE_MS: Millis = 10_000
 # A fault that recurs with each reply leaves time for a renewal well within a lease.
 LINK_RESTART_MS: Millis = 500
 UNFINISHED_STATES = (WorkflowState.PENDING, WorkflowState.ACTIVE)
--- a/hyssopweir/ownership_proof.py
+++ b/hyssopweir/ownership_proof.py
@@ -2,16 +2,16 @@
 
 A process that was suspended, or whose event loop was busy, may have been replaced
 meanwhile. A successor that can't reach a worker assumes that the leases of the former
-owner there have expired after ``UNLISTED_LEASE_MS``; an owner that renews them after a
-long pause would break that assumption. While the store is down, nobody can claim the
-cell, and an owner that was not paused goes on.
+owner there have expired after ``LeaseTimes.unlisted_ms``; an owner that renews them
+after a long pause would break that assumption. While the store is down, nobody can
+claim the cell, and an owner that was not paused goes on.
 """
 
 from hyssopweir.clock import Clock, Millis
 from hyssopweir.events import Event, EventLog
 
-# A shorter pause ends before a successor counts the leases as expired, as the test of
-# these constants shows.
+# With a lease that is granted after a pause of this length, the runs end before a
+# successor counts them as over: takeover and ``LeaseTimes.unlisted_ms`` take longer.
 MAX_PAUSE_MS: Millis = 1_400
 TICK_MS: Millis = 200
 WAIT_MS: Millis = 20
--- a/hyssopweir/platform/settings.py
+++ b/hyssopweir/platform/settings.py
@@ -8,7 +8,7 @@
 
 from result import Err, Ok, Result
 
-from hyssopweir.cell import LONGEST_LEASE_MS
+from hyssopweir.agent_link import LONGEST_LEASE_MS
 from hyssopweir.clock import Millis
 from hyssopweir.codes import Code
 from hyssopweir.input_bounds import MAX_PORT, InputError, input_errors, read_int
