--- a/hyssopweir/cli.py
+++ b/hyssopweir/cli.py
@@ -13,6 +13,7 @@
 from hyssopweir.commands_views import instances, timeline, workers
 from hyssopweir.console import exit_with_faults, print_faults, run_and_exit
 from hyssopweir.events import configure_logging
+from hyssopweir.schemas import Fault
 from hyssopweir.settings import load_settings
 
 file_path = click.Path(path_type=Path)
@@ -53,19 +54,32 @@
 @click.argument(
     "settings", type=file_path, nargs=-1, required=True, metavar="SETTINGS..."
 )
-def check(settings: Sequence[Path]) -> None:
+@click.option("--platform", is_flag=True, help="The files are for the users' platform.")
+def check(settings: Sequence[Path], platform: bool) -> None:
     """Check settings files and print every fault with its JSON path."""
     status = 0
     for path in settings:
-        loaded = load_settings(path)
-        if isinstance(loaded, Err):
-            print_faults(loaded.err_value, str(path))
-            status = status or int(loaded.err_value[0].code)
+        faults = _platform_faults(path) if platform else _faults(path)
+        if faults:
+            print_faults(faults, str(path))
+            status = status or int(faults[0].code)
         else:
             click.echo(f"{path}: ok")
     raise SystemExit(status)
 
 
+def _faults(path: Path) -> list[Fault]:
+    loaded = load_settings(path)
+    return loaded.err_value if isinstance(loaded, Err) else []
+
+
+def _platform_faults(path: Path) -> list[Fault]:
+    from hyssopweir.platform.settings import load_platform_settings
+
+    loaded = load_platform_settings(path)
+    return loaded.err_value if isinstance(loaded, Err) else []
+
+
 @main.command()
 @click.argument("fleet", type=file_path, metavar="FLEET.json")
 @click.option(
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -181,6 +181,32 @@
     assert "2 broken lines" in result.stderr
 
 
+def test_check_knows_the_settings_of_the_platform(tmp_path: Path) -> None:
+    """Guards against settings of the platform that only a start checks."""
+    path = tmp_path / "settings.json"
+    data = {
+        "instance": "edge-1",
+        "data_centre": "depot-north",
+        "callers": "127.0.0.1:8080",
+        "readiness": "127.0.0.1:8081",
+        "metrics_port": 9_464,
+        "store": "127.0.0.1:8169",
+        "keep_s": 120,
+        "stop_limit_s": 6,
+        "longest_lease_ms": 6_000,
+    }
+    path.write_text(json.dumps(data))
+    assert run_command(None, "check", "--platform", str(path)).exit_code == 0
+    bad = {"longest_lease_ms": 0, "store": "127.0.0.1:0", "callers": "nowhere"}
+    path.write_text(json.dumps({**data, **bad}))
+    result = run_command(None, "check", "--platform", str(path))
+    assert result.exit_code == int(Code.SETTINGS_INVALID)
+    for name in ("longest_lease_ms", "callers"):
+        assert f"$.{name}" in result.output
+    path.write_text(json.dumps({**data, "store": "127.0.0.1:0"}))
+    assert "$.store" in run_command(None, "check", "--platform", str(path)).output
+
+
 def test_check_prints_every_fault(tmp_path: Path) -> None:
     """Guards against a check that doesn't report the faults of every file."""
     good, bad = tmp_path / "good.json", tmp_path / "bad.json"
