--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,4 +1,4 @@
-"""The worker that a queue's jobs need is unhealthy and refuses all starts."""
+"""A worker starts again under its id, as a worker of another kind."""
 
 import asyncio
 from pathlib import Path
@@ -6,46 +6,59 @@
 from lab.lab import CannotRunError, main
 from lab.worker import Work
 
-WORKERS = 12
-JOBS = 10
-SICK_S = 6.5
-VISIBLE_S = 3
+WORKERS = 8
+JOBS = 40
+DOWN_S = 1.5
+WATCH_S = 6
 
 
 async def play(lab, trouble):
-    lab.configure({"plans": {"priority": 0, "maxAttempts": 3}})
-    lab.work = lambda task, number, worker: Work(0.5)
+    lab.configure({"rounds": {"priority": 0, "maxAttempts": 4}})
+    faults = []
+
+    def work(task, number, worker):
+        if worker.labels[0] != "a":
+            faults.append(f"{task} run {number} started on {worker.id} of {worker.labels}")
+        return Work(2.0)
+
+    lab.work = work
+    workers = []
     for number in range(WORKERS):
-        kind = "b" if number == 0 else "a"
+        cpu = 24_000 if number == 0 else 16_000
         name = f"i-7f3a91{number:02d}"
-        await lab.add_worker(name, 16_000, rack=f"r1-{number}", kind=kind)
+        workers.append(await lab.add_worker(name, cpu, rack=f"r1-{number}", kind="a"))
     await lab.start()
-    await asyncio.sleep(3)
-    worker = lab.workers[0]
-    if trouble:
-        lab.record("disruption", f"{worker.id} refuses starts with 503")
-        worker.is_unhealthy = True
+    await asyncio.sleep(2)
     for number in range(JOBS):
         step = {
-            "count": 1,
-            "cpu": 1_000,
+            "count": 8,
+            "cpu": 2_000,
             "memMb": 256,
-            "estimatedMs": 500,
-            "requirements": "b",
+            "estimatedMs": 2_000,
+            "requirements": "a",
         }
-        job = f"{0xb000000000000000 + number:016x}"
-        if not await lab.submit("plans", job, [step], number):
+        job = f"{0xa000000000000000 + number:016x}"
+        if not await lab.submit("rounds", job, [step], number):
             raise CannotRunError("a job was not accepted")
-    await asyncio.sleep(VISIBLE_S + 2.1)
-    started = {task.split(".")[0] for _, _, task, _ in lab.starts}
-    waiting = JOBS - len(started)
-    faults = []
-    for number in range(len(lab.instances)):
-        status, data = await lab.call("GET", "/plans/", None, number)
-        lab.record("client", f"GET plans/ -> {status} {data}, {waiting} not begun")
-        if status == 200 and data["pendingJobs"] < waiting / 2:
-            faults.append(f"{data['pendingJobs']} pending, though {waiting} haven't begun")
-    worker.is_unhealthy = False
+    await asyncio.sleep(1)
+    worker = workers[0]
+    if trouble:
+        lab.record("disruption", f"{worker.id} crashes")
+        worker.crash()
+        await worker.runner.cleanup()
+        await asyncio.sleep(DOWN_S)
+        # It registers with its next heartbeat, at most 1.1 s later.
+        worker.cpu = 16_000
+        worker.labels[0] = "b"
+        worker.restart()
+        _, worker.runner = await lab.serve(worker.handle, worker.address)
+        lab.record("disruption", f"{worker.id} is back as {worker.entry()}")
+    for _ in range(WATCH_S * 50):
+        await asyncio.sleep(0.02)
+        for each in workers:
+            used = 2_000 * len(each.runs)
+            if used > each.cpu:
+                lab.record("over capacity", f"{each.id} has {each.cpu}, runs {used}")
     return faults
 
 
--- a/review/lab/lab.py
+++ b/review/lab/lab.py
@@ -52,6 +52,8 @@
         self._runners, self._tasks = [], []
         self._temporary = tempfile.TemporaryDirectory()
         self.session = None
+        self.proxies = []
+        self.is_store_proxied = False
 
     def record(self, what, text=""):
         passed = time.monotonic() - self.began
@@ -121,7 +123,8 @@
         """Start the instances with the command of the deploy file; wait until ready."""
         self.session = aiohttp.ClientSession()
         address, _ = await self.serve(self.store.handle)
-        self.store_address = address
+        # Cases may put a proxy between the instances and the store.
+        self.store_address = self.proxies[0].address if self.is_store_proxied else address
         for number in range(instances):
             self.start_instance(f"edge-{number + 1}")
         until = time.monotonic() + READY_S
@@ -220,6 +223,8 @@
             process.wait()
         for task in self._tasks:
             task.cancel()
+        for proxy in self.proxies:
+            await proxy.close()
         if self.session is not None:
             await self.session.close()
         keep = os.environ.get("KEEP_LOGS")
@@ -274,9 +279,12 @@
 
 async def _run(folder, play, trouble):
     lab = Lab(folder)
+    # Ends the processes also when the case is stopped from outside.
+    current = asyncio.current_task()
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, current.cancel)
     try:
         faults = await asyncio.wait_for(play(lab, trouble), LIMIT_S)
-    except (CannotRunError, asyncio.TimeoutError, OSError) as exc:
+    except (CannotRunError, asyncio.TimeoutError, asyncio.CancelledError, OSError) as exc:
         lab.record("could not run", repr(exc))
         print(f"could not run: {exc!r}", file=sys.stderr)
         return NOT_RUN
