--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,67 +1,70 @@
-"""A worker starts again under its id, as a worker of another kind."""
+"""All open connections to the store go silent; new ones work."""
 
 import asyncio
 from pathlib import Path
 
-from lab.lab import CannotRunError, main
+from lab.lab import HOST, CannotRunError, main
+from lab.proxy import Proxy
 from lab.worker import Work
 
-WORKERS = 8
-JOBS = 40
-DOWN_S = 1.5
-HEARTBEAT_DELAY_S = 0.8
-WATCH_S = 6
+CLIENTS = 40
+CONTACT_S = 3
+CONFIG_APPLY_S = 2
+JOB = "5c0e7a21d94b36f8"
 
 
-async def play(lab, trouble):
-    lab.configure({"rounds": {"priority": 0, "maxAttempts": 4}})
-    faults = []
+async def keep_submitting(lab):
+    """Hand in four jobs a second, to the instances in turn."""
+    number = 0
+    step = {"count": 1, "cpu": 1_000, "memMb": 256, "estimatedMs": 500}
+    while True:
+        job = f"{0xa000000000000000 + number:016x}"
+        body = {"spec": "", "phases": [step]}
+        status, _ = await lab.call("POST", f"/rounds/{job}", body, number)
+        lab.record("client", f"POST rounds/{job} at {number % 2} -> {status}")
+        number += 1
+        await asyncio.sleep(0.25)
 
-    def work(task, number, worker):
-        if worker.labels[0] != "a":
-            faults.append(f"{task} run {number} started on {worker.id} of {worker.labels}")
-        return Work(2.0)
 
-    lab.work = work
-    workers = []
-    for number in range(WORKERS):
-        cpu = 24_000 if number == 0 else 16_000
-        name = f"i-7f3a91{number:02d}"
-        workers.append(await lab.add_worker(name, cpu, rack=f"r1-{number}", kind="a"))
+async def play(lab, trouble):
+    routes = {"rounds": {"priority": 0, "maxAttempts": 3}}
+    lab.configure(routes, version=3)
+    lab.work = lambda task, number, worker: Work(0.5)
+    for number in range(4):
+        await lab.add_worker(f"i-7f3a910{number}", 16_000, rack=f"r1-{number}")
+    address, _ = await lab.serve(lab.store.handle)
+    proxy = Proxy(address)
+    await proxy.start(HOST)
+    lab.proxies, lab.is_store_proxied = [proxy], True
     await lab.start()
     await asyncio.sleep(2)
-    for number in range(JOBS):
-        step = {
-            "count": 8,
-            "cpu": 2_000,
-            "memMb": 256,
-            "estimatedMs": 2_000,
-            "requirements": "a",
-        }
-        job = f"{0xa000000000000000 + number:016x}"
-        if not await lab.submit("rounds", job, [step], number):
-            raise CannotRunError("a job was not accepted")
-    await asyncio.sleep(1)
-    worker = workers[0]
+    step = {"count": 1, "cpu": 1_000, "memMb": 256, "estimatedMs": 500}
+    if not await lab.submit("rounds", JOB, [step]):
+        raise CannotRunError("the job was not accepted")
+    for _ in range(3):
+        await asyncio.gather(
+            *(lab.state("rounds", JOB, number) for number in range(CLIENTS))
+        )
+        await asyncio.sleep(1)
+    lab.spawn(keep_submitting(lab))
     if trouble:
-        lab.record("disruption", f"{worker.id} crashes")
-        worker.crash()
-        await worker.runner.cleanup()
-        await asyncio.sleep(DOWN_S)
-        # Its entry changes with its next heartbeat, within the usual 1.1 s.
-        worker.beat_task.cancel()
-        worker.cpu = 16_000
-        worker.labels[0] = "b"
-        worker.restart()
-        _, worker.runner = await lab.serve(worker.handle, worker.address)
-        worker.beat_task = lab.spawn(worker.beat(HEARTBEAT_DELAY_S))
-        lab.record("disruption", f"{worker.id} is back as {worker.entry()}")
-    for _ in range(WATCH_S * 50):
-        await asyncio.sleep(0.02)
-        for each in workers:
-            used = 2_000 * len(each.runs)
-            if used > each.cpu:
-                lab.record("over capacity", f"{each.id} has {each.cpu}, runs {used}")
+        count = proxy.silence()
+        lab.record("disruption", f"{count} open connections to the store go silent")
+    await asyncio.sleep(CONTACT_S + 0.2)
+    routes["offers"] = {"priority": 0, "maxAttempts": 3}
+    lab.configure(routes, version=7)
+    lab.record("operator", "version 7 with a new route is acknowledged")
+    await asyncio.sleep(CONFIG_APPLY_S + 0.2)
+    faults = []
+    for number in range(len(lab.instances)):
+        for second in range(20):
+            status, data = await lab.call("GET", "/offers/", None, number)
+            lab.record("client", f"GET offers/ at instance {number} -> {status} {data}")
+            if status == 404 and not second:
+                faults.append(f"instance {number} answers 404 on the new route")
+            if status == 200:
+                break
+            await asyncio.sleep(1)
     return faults
 
 
