--- a/review/4/case.py
+++ b/review/4/case.py
@@ -63,9 +63,8 @@
     }
     if not await lab.submit("bookings", jobs_of_cell(full, 2, lasting)[0], [step]):
         raise CannotRunError("the lasting job was not accepted")
-    await asyncio.sleep(3)
-    if sum(len(worker.runs) for worker in by_cell[full]) < step["count"]:
-        raise CannotRunError("the cell is not full")
+    await lab.wait_running(step["count"])
+    await asyncio.sleep(1)
     if trouble:
         lab.record("disruption", f"{special.id} is lost for good")
         special.crash()
--- a/review/lab/lab.py
+++ b/review/lab/lab.py
@@ -211,6 +211,14 @@
             await asyncio.sleep(0.3)
         return False
 
+    async def wait_running(self, count, limit_s=15):
+        """Wait until the workers have ``count`` runs, or raise ``CannotRunError``."""
+        until = time.monotonic() + limit_s
+        while sum(len(worker.runs) for worker in self.workers) < count:
+            if time.monotonic() >= until:
+                raise CannotRunError(f"fewer than {count} tasks run")
+            await asyncio.sleep(0.1)
+
     async def state(self, queue, job, instance=0):
         status, data = await self.call("GET", f"/{queue}/{job}", None, instance)
         return data.get("state", "") if status == 200 else f"status {status}"
