--- a/review/1/case.py
+++ b/review/1/case.py
@@ -7,19 +7,19 @@
 from lab.worker import Work
 
 TASKS = 700
-OUTAGE_S = 5.0
+OUTAGE_S = 4.2
 
 
 async def play(lab, trouble):
     lab.configure({"rounds": {"maxAttempts": 4, "priority": 0}})
-    # The tasks end between 2.5 and 4.5 s after their start, within the outage.
+    # The tasks end between 2 and 4 s after their start, within the outage.
     lab.work = lambda task, number, worker: Work(
         2.5 + int(task.rsplit(".", 1)[1]) % 100 / 50
     )
     await lab.add_worker("i-1a2b3c4d", 16_000, rack="r1-1")
     await lab.start()
     await asyncio.sleep(2)
-    step = {"count": TASKS // 2, "cpu": 20, "memMb": 10, "estimatedMs": 3_500}
+    step = {"count": TASKS // 2, "cpu": 20, "memMb": 10, "estimatedMs": 3_000}
     jobs = ["5c0e7a21d94b36f8", "5c0e7a21d94b36f9"]
     for number, job in enumerate(jobs):
         if not await lab.submit("rounds", job, [step], number):
