Conclude nothing about runs that a partial reply leaves out

Cause: a reply to a lease renewal lists 500 ends at most, and was read as the whole state of the worker. While the store is down no end is acknowledged, so the later ends are never listed; their runs counted as lost and their tasks were placed again. The log could not tell this from a lapsed lease or a restart: TASK_LAPSED has a reason now.

Change: the adapter marks a reply with as many ends as one may have as partial (LeaseReply.is_partial). Its runs and ends are taken as before, but no run that it leaves out is ended. Once the listed ends are stored and acknowledged, the later ones follow in a complete reply, so that every run is still decided.

Related paths with the same cause, fixed here: the restart of a worker (detect_restart), after which unlisted runs counted as lost with the previous process; runs that a restarted worker lists only as ended. Read through without a fault: read_all, TableStore.scan, the reads of single keys, the worker list, the change feed, the inventory of the other protocol, which has no pages.

--- a/hyssopweir/agents.py
+++ b/hyssopweir/agents.py
@@ -69,12 +69,16 @@
 
 
 class LeaseReply(NamedTuple):
-    """Reply to a lease renewal: all runs in progress and all unacknowledged ends."""
+    """Reply to a lease renewal: all runs in progress and the unacknowledged ends.
+
+    A partial reply leaves out later ends, so that a run it doesn't list may have ended.
+    """
 
     clock_ms: Millis
     born_ms: Millis
     running: list[RunStatus]
     ended: list[EndedRun]
+    is_partial: bool = False
 
 
 class CommandResult(Enum):
--- a/hyssopweir/platform/http_agent.py
+++ b/hyssopweir/platform/http_agent.py
@@ -57,7 +57,9 @@
 MAX_NAME_CHARS = 200
 MAX_REMAINING_MS: Millis = 24 * 3_600_000
 
-# A reply to a lease renewal lists at most 500 ends; runs are limited by the capacity.
+# A reply to a lease renewal lists at most so many ends, the first ones.
+REPLY_ENDS = 500
+# Bound of either list of a reply; runs are limited by the capacity.
 MAX_LISTED_RUNS = 20_000
 MAX_ROW_FIELDS = 16
 MAX_SAVED_CHARS = 1_000
@@ -262,6 +264,7 @@
         read_int(data.get("born", 0), "born"),
         [_parse_running(row) for row in running],
         [_parse_ended(row) for row in ended],
+        is_partial=len(ended) >= REPLY_ENDS,
     )
 
 
--- a/hyssopweir/run_reports.py
+++ b/hyssopweir/run_reports.py
@@ -27,8 +27,11 @@
         """Process a lease reply; the future completes once ended runs are stored."""
         if not link.load.is_confirmed:
             self._admit(link)
-        listed = {run.ref for run in lease_reply.running}
-        self.detect_restart(link, lease_reply.born_ms, listed)
+        reported = {run.ref for run in lease_reply.running}
+        reported.update(end.ref for end in lease_reply.ended)
+        # A run that a partial reply leaves out may be among the later ends.
+        if not lease_reply.is_partial:
+            self.detect_restart(link, lease_reply.born_ms, reported)
         for report in lease_reply.running:
             with self._state.guard_task(report.ref.task):
                 self._process_running(link, report, lease_reply.born_ms)
@@ -37,8 +40,8 @@
         for end in lease_reply.ended:
             with self._state.guard_task(end.ref.task):
                 self._process_end(link, end)
-        ended = {end.ref for end in lease_reply.ended}
-        self._expire_missing(link, listed | ended, sent_ms)
+        if not lease_reply.is_partial:
+            self._expire_missing(link, reported, sent_ms)
         if lease_reply.ended:
             return self._state.commits.stored()
         return None
@@ -66,12 +69,12 @@
         self._state.wake.set()
 
     def detect_restart(
-        self, link: AgentLink, born_ms: Millis, listed: Set[RunRef] = frozenset()
+        self, link: AgentLink, born_ms: Millis, reported: Set[RunRef] = frozenset()
     ) -> None:
         """End the runs that were lost when the worker restarted.
 
         A worker that can't be reached tells of its restart by its entry in the list.
-        ``listed`` are the runs that the restarted worker reports.
+        ``reported`` are the runs that the restarted worker lists, also as ended.
         """
         worker_id = link.entry.worker_id
         previous_born_ms = self._born_ms_by_worker.get(worker_id)
@@ -79,7 +82,7 @@
         if previous_born_ms is None or previous_born_ms == born_ms:
             return
         self._state.log.emit(Event.WORKER_RESTARTED, worker=worker_id)
-        self._end_lost_runs(link, listed)
+        self._end_lost_runs(link, reported)
 
     def end_lost_runs(self, link: AgentLink) -> None:
         """End the runs of a worker whose process has certainly ended."""
@@ -94,17 +97,20 @@
             return
         # No run of a previous owner was reserved here yet.
         for run in list(self._state.runs_on(link.entry.worker_id)):
-            self.lapse(link, run.ref)
+            self.lapse(link, run.ref, "the worker's process has ended")
 
-    def _end_lost_runs(self, link: AgentLink, listed: Set[RunRef]) -> None:
+    def _end_lost_runs(self, link: AgentLink, reported: Set[RunRef]) -> None:
         link.load.discard_report(self._state.now_ms())
         for run, _ in list(link.load.runs.values()):
-            if run.ref in listed or run.phase in (RunPhase.RECORDED, RunPhase.ORDERED):
+            if run.ref in reported or run.phase in (
+                RunPhase.RECORDED,
+                RunPhase.ORDERED,
+            ):
                 continue
             if run.phase is RunPhase.UNCERTAIN and not run.is_closed:
                 # A restarted worker may still receive the start command.
                 continue
-            self.lapse(link, run.ref)
+            self.lapse(link, run.ref, "the worker's process has ended")
 
     def _process_running(
         self, link: AgentLink, report: RunStatus, born_ms: Millis
@@ -189,9 +195,9 @@
                 continue
             is_settled = run.phase is RunPhase.RUNNING or run.is_closed
             if is_settled:
-                self.lapse(link, run.ref)
+                self.lapse(link, run.ref, "not listed by the worker")
 
-    def lapse(self, link: AgentLink, ref: RunRef) -> None:
+    def lapse(self, link: AgentLink, ref: RunRef, reason: str) -> None:
         """Record that a run is over although no report showed its end."""
         link.load.release(ref, self._state.now_ms())
         progress = self._state.job_of(ref.task)
@@ -202,7 +208,10 @@
             is not None
         ):
             self._state.log.emit(
-                Event.TASK_LAPSED, **ref.fields(), worker=link.entry.worker_id
+                Event.TASK_LAPSED,
+                **ref.fields(),
+                worker=link.entry.worker_id,
+                reason=reason,
             )
             self._state.mark_changed(progress)
 
@@ -217,7 +226,7 @@
             reason=reason,
         )
         for ref in dict.fromkeys([*runs, *recorded]):
-            self.lapse(link, ref)
+            self.lapse(link, ref, reason)
 
     def lapse_unlisted(self, worker_id: str) -> None:
         """Record that all runs of an unlisted worker that never replied are over."""
--- a/tests/agent_fakes.py
+++ b/tests/agent_fakes.py
@@ -25,6 +25,8 @@
 
 LATENCY_MS: Millis = 2
 POLL_MS: Millis = 5
+# Ends that a reply lists at most.
+REPLY_ENDS = 500
 # Reported CPU use of runs without a tail latency target, in thousandths.
 CPU_USE = 10.0
 
@@ -212,7 +214,9 @@
             )
             for run in self.running.values()
         ]
-        return LeaseReply(now_ms, self.born_ms, running, list(self.ended))
+        ended = self.ended[:REPLY_ENDS]
+        is_partial = len(ended) == REPLY_ENDS
+        return LeaseReply(now_ms, self.born_ms, running, ended, is_partial)
 
     def _check_acknowledged(self, task: TaskRef, end_ms: Millis) -> None:
         """Check an acknowledged end unless a lease has lapsed since."""
