Let jobs behind the bound of a placement pass take turns

Cause: a pass ended after 24 different requirements that found no worker, and the next one began with the same jobs, so that nothing behind them was ever tried.

Change: behind the bound, jobs that the last passes have not come to are tried until eight more rankings have failed. The bound counts rankings of the workers only: a requirement that exceeds the largest free amount of a resource is found without one. CELL_LOAD shows untried_jobs, which tells jobs that fit nowhere from those that were not tried.

Read without a fault: job and task transfers, row commits, deletions, evictions, the task queue, claims.

--- a/hyssopweir/cell_maintenance.py
+++ b/hyssopweir/cell_maintenance.py
@@ -113,6 +113,7 @@
             high_tails=sum(load.worst_tail() >= 1.0 for load in serving),
             waiting=len(waiting),
             waiting_fillers=sum(step.is_filler for step in waiting),
+            untried_jobs=self._scheduler.untried_jobs,
         )
 
     def _log_absent_tasks(self, now_ms: Millis) -> None:
--- a/hyssopweir/cell_scheduler.py
+++ b/hyssopweir/cell_scheduler.py
@@ -20,10 +20,15 @@
 from hyssopweir.workflow_progress import WorkflowProgress
 from hyssopweir.workflows import Step
 
-# Bounds the duration of a placement pass when many more tasks wait than fit.
-MAX_UNPLACEABLE = 24
+# Bound the duration of a placement pass when many more tasks wait than fit. After this
+# number of rankings that yield no worker, the less urgent jobs are tried in turns, over
+# several passes, with the second number of such rankings in each.
+MAX_FAILED_RANKINGS = 24
+MAX_FAILED_RANKINGS_BEHIND = 8
 # Sorts jobs without an end after all others.
 UNBOUNDED_WORK = 1 << 60
+# Less than any task needs, also one that reserves nothing.
+NO_CAPACITY = Resources(-1, -1, -1)
 # Bounds the CPU use of the scheduler while there are tasks that do not fit.
 PASS_INTERVAL_MS: Millis = 20
 
@@ -31,20 +36,50 @@
 class PlacementKey(NamedTuple):
     """Key of tasks with the same requirements, which fit or fail to fit alike.
 
-    Whether a filler fits depends on its image more than on its size.
+    ``filler_image`` is empty for tasks that are no fillers, whose image doesn't matter.
     """
 
     service: str
-    charge: Resources
+    room: Resources
     label: str
-    image: str
+    filler_image: str
 
 
 def placement_key(service: str, step: Step) -> PlacementKey:
-    """Return the key of the tasks of a step, without the size for fillers."""
-    if step.is_filler:
-        return PlacementKey(service, Resources(), step.label, step.image)
-    return PlacementKey(service, step.charge, step.label, "")
+    """Return the key of the tasks of a step."""
+    filler_image = step.image if step.is_filler else ""
+    return PlacementKey(service, step.room, step.label, filler_image)
+
+
+class PlacementPass:
+    """Workers that accept tasks in one pass, and what didn't fit on any of them."""
+
+    def __init__(
+        self, loads: Mapping[str, Sequence[WorkerLoad]], now_ms: Millis
+    ) -> None:
+        self.loads = loads
+        self.now_ms = now_ms
+        self.unplaceable: set[PlacementKey] = set()
+        # Rankings of all workers that yielded none for a task.
+        self.failed_rankings = 0
+        self._largest_free: dict[tuple[str, str], Resources] = {}
+
+    def may_fit(self, service: str, step: Step) -> bool:
+        """Return False if some resource of a step is free in its amount on no worker.
+
+        The largest amounts may be those of different workers. They are computed once,
+        since the free capacity only decreases during a pass.
+        """
+        key = (service, step.label)
+        if key not in self._largest_free:
+            free = [
+                load.free
+                for load in self.loads.get(service, ())
+                if not step.label or step.label in load.entry.labels
+            ]
+            largest = Resources(*map(max, zip(*free, strict=True))) if free else None
+            self._largest_free[key] = largest or NO_CAPACITY
+        return self._largest_free[key].can_fit(step.charge)
 
 
 class CellScheduler:
@@ -53,6 +88,11 @@
     def __init__(self, state: CellState, commands: RunCommands) -> None:
         self._state = state
         self._commands = commands
+        # Jobs behind the most urgent ones that passes have tried since they last came
+        # to the end.
+        self._tried_jobs: set[str] = set()
+        # Jobs that the last pass has left to later ones.
+        self.untried_jobs = 0
 
     async def run(self) -> None:
         """Run a placement pass whenever the state of the cell has changed."""
@@ -67,31 +107,46 @@
     def place(self) -> None:
         """Record and start runs for all waiting tasks that fit now."""
         now_ms = self._state.now_ms()
-        loads = self._available_loads(now_ms)
+        current = PlacementPass(self._available_loads(now_ms), now_ms)
         new_runs: list[tuple[Run, AgentLink]] = []
-        unplaceable: set[PlacementKey] = set()
         jobs = self._jobs_by_urgency()
         # Lost endless tasks of all jobs go before tasks that have never run.
         for progress in jobs:
             with self._state.guard(progress.key):
                 lost = progress.lost_endless_tasks()
-                new_runs.extend(
-                    self._place_tasks(progress, lost, loads, unplaceable, now_ms)
-                )
-        for progress in jobs:
-            if len(unplaceable) >= MAX_UNPLACEABLE:
-                break
+                new_runs.extend(self._place_tasks(progress, lost, current))
+        for progress in self._jobs_within_bounds(jobs, current):
             with self._state.guard(progress.key):
-                if not is_unplaceable(progress, unplaceable):
+                if not is_unplaceable(progress, current.unplaceable):
                     waiting = list(progress.waiting())
-                    new_runs.extend(
-                        self._place_tasks(progress, waiting, loads, unplaceable, now_ms)
-                    )
+                    new_runs.extend(self._place_tasks(progress, waiting, current))
                 if not any(True for _ in progress.waiting()):
                     self._state.unplaced.discard(progress.key)
         if new_runs:
             self._commands.start_when_stored(new_runs)
 
+    def _jobs_within_bounds(
+        self, jobs: Sequence[WorkflowProgress], current: PlacementPass
+    ) -> Iterator[WorkflowProgress]:
+        """Yield the most urgent jobs, then some of those behind, which take turns.
+
+        Without turns, jobs that fit nowhere would keep all others waiting.
+        """
+        position = 0
+        while position < len(jobs) and current.failed_rankings < MAX_FAILED_RANKINGS:
+            yield jobs[position]
+            position += 1
+        limit = current.failed_rankings + MAX_FAILED_RANKINGS_BEHIND
+        behind = [job for job in jobs[position:] if job.key not in self._tried_jobs]
+        for count, progress in enumerate(behind):
+            if current.failed_rankings >= limit:
+                self.untried_jobs = len(behind) - count
+                return
+            self._tried_jobs.add(progress.key)
+            yield progress
+        self.untried_jobs = 0
+        self._tried_jobs.clear()
+
     def _jobs_by_urgency(self) -> list[WorkflowProgress]:
         wall_ms = self._state.clock.wall_ms()
         jobs = []
@@ -112,9 +167,7 @@
         self,
         progress: WorkflowProgress,
         waiting: Iterable[tuple[TaskRef, Step, Task]],
-        loads: Mapping[str, Sequence[WorkerLoad]],
-        unplaceable: set[PlacementKey],
-        now_ms: Millis,
+        current: PlacementPass,
     ) -> Iterator[tuple[Run, AgentLink]]:
         service = progress.workflow.service
         is_changed = False
@@ -124,26 +177,30 @@
             if not spare_runs and task.is_unstarted():
                 continue
             key = placement_key(service, step)
-            if key in unplaceable:
+            if key in current.unplaceable:
                 continue
             ranking = rankings.get((ref.occurrence, ref.step))
             if ranking is None:
+                if not current.may_fit(service, step):
+                    current.unplaceable.add(key)
+                    continue
                 # Ends the rankings of earlier steps, which know only their own runs.
                 ranking = rank_workers(
                     step,
-                    loads.get(service, ()),
+                    current.loads.get(service, ()),
                     self._state.interference_model,
-                    now_ms,
+                    current.now_ms,
                 )
                 rankings = {(ref.occurrence, ref.step): ranking}
             load = ranking.choose(ref, task)
             if load is None:
                 if not step.most_per_worker:
-                    unplaceable.add(key)
+                    current.unplaceable.add(key)
+                    current.failed_rankings += 1
                 continue
             is_changed = True
             spare_runs -= task.is_unstarted()
-            yield self._record_run(progress, ref, step, load, now_ms)
+            yield self._record_run(progress, ref, step, load, current.now_ms)
         if is_changed:
             self._state.commits.mark(self._state.progress_key(progress.key))
 
