Let a job that no worker can run leave its cell open to transfers

Cause: heartbeats counted the jobs that wait in a cell, and a cell with any got neither jobs nor finite tasks from others, whatever its own jobs waited for.

Change: heartbeats state the processors that waiting tasks require (waiting_cpu), of tasks that a listed worker with their label could run once all finite tasks have left it. A cell gets work for which it has room beyond that. An overloaded cell still gets none.

Same cause on a related path: FreeWorkers.take, the choice of a cell for a single task; it now also subtracts what it gives out from the spare processors of the cell.

--- a/hyssopweir/cell_heartbeats.py
+++ b/hyssopweir/cell_heartbeats.py
@@ -67,14 +67,19 @@
 class SpareCapacity(NamedTuple):
     """Spare capacity of a cell for one service, in thousandths of a processor.
 
-    ``waiting`` counts the jobs that may have unplaced tasks. ``largest`` lists the free
-    capacity of the workers that have most.
+    ``waiting_cpu`` is what the waiting tasks require that a worker of the cell could
+    run. ``largest`` lists the free capacity of the workers that have most.
     """
 
     free_cpu: int = 0
-    waiting: int = 0
+    waiting_cpu: int = 0
     largest: tuple[Resources, ...] = ()
 
+    @property
+    def spare_cpu(self) -> int:
+        """Return the free processors that no task of the cell waits for."""
+        return self.free_cpu - self.waiting_cpu
+
 
 class Heartbeat(NamedTuple):
     """Heartbeat row of a cell: its owner and the spare capacity of each service.
@@ -151,13 +156,14 @@
 def _read_room(value: Any) -> SpareCapacity:
     fields = read_list(value, "room", len(SpareCapacity._fields))
     with input_errors("room"):
-        free_cpu, waiting = fields[:2]
+        # Earlier builds state the number of waiting jobs in its place.
+        free_cpu, waiting_cpu = fields[:2]
     # Rows of an earlier build have no third field.
     largest = fields[2] if len(fields) > 2 else []
     return SpareCapacity(
         # Unknown runs may take more than a worker has.
         read_int(free_cpu, "free_cpu", -MAX_WHOLE, MAX_WHOLE),
-        read_int(waiting, "waiting"),
+        read_int(waiting_cpu, "waiting_cpu"),
         tuple(_read_free(free) for free in read_list(largest, "largest", MAX_LISTED)),
     )
 
--- a/hyssopweir/job_transfers.py
+++ b/hyssopweir/job_transfers.py
@@ -10,15 +10,18 @@
 import asyncio
 import json
 import zlib
+from collections import Counter
 from collections.abc import Mapping, Sequence
 from typing import Any
 
 from result import Err
 
+from hyssopweir.agents import WorkerState
 from hyssopweir.background_tasks import BackgroundTasks
 from hyssopweir.cell_heartbeats import CellHeartbeats, Heartbeat, SpareCapacity
 from hyssopweir.cell_layout import requests_table
 from hyssopweir.cell_requests import CellRequests
+from hyssopweir.cell_scheduler import PlacementKey, placement_key
 from hyssopweir.cell_state import PROGRESS_TABLE, CellState, TransferredJob
 from hyssopweir.clock import Millis
 from hyssopweir.events import Event
@@ -26,7 +29,7 @@
 from hyssopweir.row_store import MAX_ROW_BYTES, RowStore, StoredRow
 from hyssopweir.worker_load import WorkerLoad
 from hyssopweir.workflow_progress import WorkflowProgress, WorkflowState
-from hyssopweir.workflows import decode_workflow, encode_workflow
+from hyssopweir.workflows import Step, decode_workflow, encode_workflow
 
 # A job must wait longer than most scheduler passes plus the end of one short task.
 MIN_WAIT_MS: Millis = 400
@@ -51,13 +54,39 @@
                 free_cpu=capacity.free_cpu + max(load.free.cpu, 0),
                 largest=_with_worker(capacity.largest, load, state.now_ms()),
             )
-    for job in state.unplaced:
-        service = state.jobs[job].workflow.service
+    waiting_cpu: Counter[str] = Counter()
+    fits_by_key: dict[PlacementKey, bool] = {}
+    for job in list(state.unplaced):
+        with state.guard(job):
+            progress = state.jobs[job]
+            service = progress.workflow.service
+            for key, step in progress.active_steps():
+                step_key = placement_key(service, step)
+                if step_key not in fits_by_key:
+                    fits_by_key[step_key] = can_ever_fit(service, step, state)
+                if fits_by_key[step_key]:
+                    waiting_cpu[service] += step.room.cpu * progress.count_waiting(key)
+    for service, cpu in waiting_cpu.items():
         capacity = capacities.get(service, SpareCapacity())
-        capacities[service] = capacity._replace(waiting=capacity.waiting + 1)
+        capacities[service] = capacity._replace(waiting_cpu=cpu)
     return capacities
 
 
+def can_ever_fit(service: str, step: Step, state: CellState) -> bool:
+    """Return whether a worker has the capacity for a step once all tasks that end have.
+
+    A task that no worker can run doesn't compete with others for their capacity.
+    """
+    return any(
+        link.entry.service == service
+        and link.load.is_listed
+        and link.entry.state is WorkerState.READY
+        and (not step.label or step.label in link.entry.labels)
+        and link.entry.room.minus(link.load.lasting).can_fit(step.charge)
+        for link in state.links.values()
+    )
+
+
 def _with_worker(
     largest: Sequence[Resources], load: WorkerLoad, now_ms: Millis
 ) -> tuple[Resources, ...]:
@@ -81,18 +110,18 @@
 ) -> str | None:
     """Return the cell to which to transfer a job of ``own``, None to keep it.
 
-    Candidates have no waiting jobs of the service and ``SPARE_FACTOR`` times the
-    required capacity.
+    Candidates have ``SPARE_FACTOR`` times the required capacity beyond what their own
+    waiting tasks of the service require.
     """
     required_cpu = open_steps_cpu(progress)
     service = progress.workflow.service
     candidates = []
     for cell, heartbeat in heartbeats.items():
         capacity = heartbeat.rooms.get(service)
-        if cell == own or heartbeat.is_released or capacity is None or capacity.waiting:
+        if cell == own or heartbeat.is_released or capacity is None:
             continue
-        if capacity.free_cpu >= SPARE_FACTOR * required_cpu:
-            candidates.append((-capacity.free_cpu, cell))
+        if capacity.spare_cpu >= SPARE_FACTOR * required_cpu:
+            candidates.append((-capacity.spare_cpu, cell))
     if not candidates:
         return None
     # Hashing makes two cells with the same heartbeats unlikely to choose the same one.
--- a/hyssopweir/task_transfers.py
+++ b/hyssopweir/task_transfers.py
@@ -12,13 +12,12 @@
 from collections.abc import Iterator, Mapping
 
 from hyssopweir.background_tasks import BackgroundTasks
-from hyssopweir.cell_heartbeats import CellHeartbeats, Heartbeat
+from hyssopweir.cell_heartbeats import CellHeartbeats, Heartbeat, SpareCapacity
 from hyssopweir.cell_requests import CellRequests
 from hyssopweir.cell_state import REPORT_SUFFIX, CellState
 from hyssopweir.clock import Millis
 from hyssopweir.events import Event
 from hyssopweir.input_bounds import InputError, input_errors, parse_bounded_json
-from hyssopweir.resources import Resources
 from hyssopweir.row_store import MAX_ROW_BYTES, StoredRow
 from hyssopweir.task_state import (
     TASK_SEPARATOR,
@@ -52,6 +51,19 @@
 REPORTED_STATES = frozenset({WorkflowState.COMPLETED, WorkflowState.FAILED})
 
 
+class FreeCapacity:
+    """Capacity of another cell for one service, less what was given out.
+
+    ``spare_cpu`` are the free processors that no task there waits for.
+    """
+
+    __slots__ = ("spare_cpu", "workers")
+
+    def __init__(self, capacity: SpareCapacity) -> None:
+        self.spare_cpu = capacity.spare_cpu
+        self.workers = list(capacity.largest)
+
+
 class FreeWorkers:
     """Largest free capacities on workers of other cells, less what was given out.
 
@@ -60,9 +72,7 @@
 
     def __init__(self) -> None:
         self._versions: dict[str, int] = {}
-        self._free: dict[str, dict[str, list[Resources]]] = {}
-        # Cells in which other jobs of a service wait.
-        self._busy: set[tuple[str, str]] = set()
+        self._free: dict[str, dict[str, FreeCapacity]] = {}
 
     def update(self, own: str, heartbeats: Mapping[str, Heartbeat]) -> None:
         """Replace the capacities of all other cells that have a newer heartbeat."""
@@ -72,31 +82,29 @@
             self._versions[cell] = heartbeat.version
             rooms = {} if heartbeat.is_released else heartbeat.rooms
             self._free[cell] = {
-                service: list(capacity.largest) for service, capacity in rooms.items()
-            }
-            self._busy = {pair for pair in self._busy if pair[0] != cell}
-            self._busy |= {
-                (cell, service) for service in rooms if rooms[service].waiting
+                service: FreeCapacity(capacity) for service, capacity in rooms.items()
             }
 
     def take(self, service: str, step: Step) -> str | None:
         """Reserve capacity for a task; return its cell, None if no worker has it.
 
-        An endless task that is lost is placed before all work that waits in its cell,
-        other tasks are not, so they need a cell where nothing waits.
+        An endless task that is lost is placed before all work that waits in its cell.
+        Other tasks are not, so they need capacity that no task there waits for.
         """
         candidates = [
             (free.cpu, cell, index)
             for cell, services in self._free.items()
-            if step.is_endless or (cell, service) not in self._busy
-            for index, free in enumerate(services.get(service, ()))
+            if (capacity := services.get(service)) is not None
+            and (step.is_endless or capacity.spare_cpu >= step.charge.cpu)
+            for index, free in enumerate(capacity.workers)
             if free.can_fit(step.charge)
         ]
         if not candidates:
             return None
         _, cell, index = max(candidates)
-        workers = self._free[cell][service]
-        workers[index] = workers[index].minus(step.charge)
+        capacity = self._free[cell][service]
+        capacity.spare_cpu -= step.charge.cpu
+        capacity.workers[index] = capacity.workers[index].minus(step.charge)
         return cell
 
 
--- a/hyssopweir/worker_load.py
+++ b/hyssopweir/worker_load.py
@@ -32,6 +32,8 @@
         # Processors reserved by endless tasks, and those requested by fillers.
         self.serving_cpu = 0
         self.filler_cpu = 0
+        # Reserved by endless tasks, which don't release it.
+        self.lasting = Resources()
         self.filler_ended_ms: Millis = 0
         # Changes with everything that decisions about the runs depend on, but for time.
         self.revision = 0
@@ -75,6 +77,8 @@
         if step.is_endless:
             self.servers += sign
             self.serving_cpu += sign * step.room.cpu
+            change = self.lasting.plus if sign > 0 else self.lasting.minus
+            self.lasting = change(step.charge)
         if step.is_filler:
             self.fillers += sign
             self.filler_cpu += sign * step.room.cpu
--- a/hyssopweir/workflow_progress.py
+++ b/hyssopweir/workflow_progress.py
@@ -189,6 +189,10 @@
                     ref = TaskRef(self.workflow.job, *key, index)
                     yield ref, self.workflow.steps[key[1]], task
 
+    def count_waiting(self, key: StepKey) -> int:
+        """Return how many tasks of an open step need a run here and have none."""
+        return sum(task.is_waiting() for task in self.tasks[key])
+
     def open_steps(self) -> list[StepKey]:
         """Return the unfinished steps whose dependencies are done."""
         return [
--- a/tests/test_starvation.py
+++ b/tests/test_starvation.py
@@ -4,21 +4,31 @@
 
 import pytest
 
+from hyssopweir.events import Event
 from hyssopweir.resources import Resources
 from hyssopweir.workflow_progress import WorkflowState
-from hyssopweir.workflows import Workflow
+from hyssopweir.workflows import Step, Workflow
 from tests.cell_simulation import (
     CellSimulation,
     build_entry,
     build_step,
     build_workflow,
+    fill_first_cell,
+    job_ids_of_cell,
 )
+from tests.job_checks import events_of
 from tests.virtual_time import run_virtual
 
 DONE = WorkflowState.COMPLETED
 MANY = 60
 # The users allow a job to wait for 3 s while there is capacity.
 START_LIMIT_MS = 3_000
+# Steps that no worker of the second cell can run as long as its endless tasks run.
+BLOCKED_STEPS = {
+    "missing label": build_step(1, label="b"),
+    "too large": build_step(1, room=Resources(400_000, 1_000)),
+    "beside endless tasks": build_step(8, room=Resources(8_000, 1_000)),
+}
 
 
 async def assert_served_behind(
@@ -128,3 +138,89 @@
         await assert_served_behind(simulation, waiting, job)
 
     run_virtual(main())
+
+
+async def build_full_cell_and_blocked_job(
+    seed: int, blocked: Step
+) -> tuple[CellSimulation, list[str]]:
+    """Return cells of which one is full and the other nearly idle, and new job ids.
+
+    Each worker of the other cell runs a small endless task; a job waits there. The ids
+    belong to the full cell.
+    """
+    simulation = CellSimulation(workers=4, cells=2, seed=seed)
+    await fill_first_cell(simulation)
+    endless, waiting = job_ids_of_cell("c1", simulation, 2)
+    step = build_step(2, room=Resources(1_000, 100), is_endless=True, most_per_worker=1)
+    assert await simulation.submit(build_workflow(endless, step))
+    await simulation.sleep_ms(500)
+    assert await simulation.submit(build_workflow(waiting, blocked))
+    await simulation.sleep_ms(1_000)
+    assert await simulation.state(waiting) is WorkflowState.PENDING
+    return simulation, job_ids_of_cell("c0", simulation, 4)[1:]
+
+
+@pytest.mark.parametrize("seed", range(2))
+@pytest.mark.parametrize("blocked", BLOCKED_STEPS.values(), ids=BLOCKED_STEPS.keys())
+def test_blocked_job_leaves_its_cell_open_to_transfers(
+    blocked: Step, seed: int
+) -> None:
+    """Guards against jobs of a full cell that wait next to a free one for good."""
+
+    async def main() -> None:
+        simulation, jobs = await build_full_cell_and_blocked_job(seed, blocked)
+        for job in jobs:
+            assert await simulation.submit(build_workflow(job, build_step(1)))
+        for job in jobs:
+            assert await simulation.until(job, DONE, START_LIMIT_MS)
+
+    run_virtual(main())
+
+
+@pytest.mark.parametrize("blocked", BLOCKED_STEPS.values(), ids=BLOCKED_STEPS.keys())
+def test_blocked_job_leaves_its_cell_open_to_single_tasks(blocked: Step) -> None:
+    """Guards against tasks of started jobs that wait next to a free cell for good."""
+
+    async def main() -> None:
+        simulation = CellSimulation(workers=4, cells=2)
+        await simulation.sleep_ms(1_500)
+        job, blocker = job_ids_of_cell("c0", simulation, 2)
+        endless, waiting = job_ids_of_cell("c1", simulation, 2)
+        one_each = build_step(
+            2, room=Resources(1_000, 100), is_endless=True, most_per_worker=1
+        )
+        assert await simulation.submit(build_workflow(endless, one_each))
+        # The second step doesn't fit beside the tasks of the other job.
+        steps = (
+            build_step(1, estimated_ms=3_000),
+            build_step(1, room=Resources(4_000, 1_000), after=(0,)),
+        )
+        assert await simulation.submit(build_workflow(job, *steps))
+        await simulation.sleep_ms(300)
+        filling = build_step(7, is_endless=True)
+        assert await simulation.submit(build_workflow(blocker, filling))
+        assert await simulation.submit(build_workflow(waiting, blocked))
+        await simulation.sleep_ms(3_000)
+        assert await simulation.state(waiting) is WorkflowState.PENDING
+        assert await simulation.until(job, DONE, START_LIMIT_MS + 1_000)
+
+    run_virtual(main())
+
+
+def test_overloaded_cell_gets_no_transfers() -> None:
+    """Guards against jobs that are handed to a cell whose own jobs wait."""
+
+    async def main() -> None:
+        simulation = CellSimulation(workers=4, cells=2)
+        await fill_first_cell(simulation)
+        busy = job_ids_of_cell("c1", simulation, 1)[0]
+        # Far more than the cell holds, and all of it fits in turn.
+        step = build_step(100, room=Resources(3_000, 1_000), estimated_ms=2_000)
+        assert await simulation.submit(build_workflow(busy, step))
+        await simulation.sleep_ms(1_000)
+        job = job_ids_of_cell("c0", simulation, 2)[1]
+        assert await simulation.submit(build_workflow(job, build_step(1)))
+        await simulation.sleep_ms(START_LIMIT_MS)
+        assert not events_of(simulation, Event.JOB_MOVED)
+
+    run_virtual(main())
