Reuse no connection that may have gone silent with others

Cause: after a timeout the pool closed one connection and handed out the next idle one, as silent as the first. Each cost the timeout of a call, until all were used up.

Change: a timeout is recorded with the time at which its request was sent. Connections to the same address that were last used before are closed instead of reused. Those used since have replied and stay, so that one lost reply costs no other connection. The detail of a failed call says whether the timeout hit a new or a reused connection.

Same cause on related paths, all fixed by the common session: the connections to workers, the sessions to the platform of the other protocol, and the pool of HttpWorkerClient, whose sessions share what they know. The links between instances are single connections with pings and stay as they are.

Whether bytes may have been sent is now taken from the event before the headers are written, as a connection may be dropped unused.

--- a/hyssopweir/platform_client.py
+++ b/hyssopweir/platform_client.py
@@ -13,9 +13,12 @@
 from io import BytesIO
 from types import SimpleNamespace
 from typing import Any, NamedTuple, TypeVar
+from weakref import WeakKeyDictionary
 
 import aiohttp
+from aiohttp.connector import Connection
 from aiohttp.http_exceptions import HttpProcessingError
+from aiohttp.tracing import Trace
 from mode import Service
 from result import Err, Ok, Result
 from yarl import URL
@@ -43,6 +46,8 @@
 MAX_OBJECT_BYTES = 16 * 1_048_576
 # Bounds an exchange whose reply arrives too slowly ever to complete.
 MAX_EXCHANGE_MS: Millis = 30_000
+# Idle connections are closed after this time.
+IDLE_CONNECTION_S = 15.0
 # There are few distinct periodic reads; the bounds keep large one-time reads out of
 # the cache.
 MAX_CACHED_READS = 32
@@ -94,13 +99,68 @@
         return f"{self.kind.value}: {self.detail}"
 
 
-class ConnectionTrace:
-    """Trace context; with ``connected`` set, bytes may have been sent."""
+class ExchangeProgress:
+    """Trace context; with ``sent_s`` set, bytes may have been sent since that time."""
 
-    connected = False
+    sent_s: float | None = None
+    is_reused = False
     received_bytes = 0
 
 
+class SilentAddresses:
+    """Addresses that left requests unanswered, with the time of the latest of them.
+
+    The connections to such an address that were last used before may all be silent.
+    """
+
+    def __init__(self) -> None:
+        self._sent_s: dict[tuple[str, int], float] = {}
+
+    def record(self, address: tuple[str, int], sent_s: float) -> None:
+        """Record that a request that was sent at a time got no reply."""
+        oldest_s = sent_s - IDLE_CONNECTION_S
+        self._sent_s = {at: s for at, s in self._sent_s.items() if s > oldest_s}
+        self._sent_s[address] = max(sent_s, self._sent_s.get(address, sent_s))
+
+    def may_be_silent(self, address: tuple[str, int], used_s: float) -> bool:
+        """Return whether a connection that was last used at a time may be silent."""
+        return used_s < self._sent_s.get(address, used_s)
+
+
+class Connector(aiohttp.TCPConnector):
+    """Connector that does not reuse connections that may have gone silent.
+
+    A connection can go silent without a reset, often together with all others that are
+    open. It would cost each of the next calls its timeout.
+    """
+
+    def __init__(self, connections: int, silent: SilentAddresses) -> None:
+        super().__init__(limit=connections, keepalive_timeout=IDLE_CONNECTION_S)
+        self.silent = silent
+        self._used_s: WeakKeyDictionary[asyncio.Transport, float] = WeakKeyDictionary()
+
+    async def connect(
+        self,
+        req: aiohttp.ClientRequest,
+        traces: list[Trace],
+        timeout: aiohttp.ClientTimeout,
+    ) -> Connection:
+        """Return a connection that has not gone silent as far as is known."""
+        address = (req.url.raw_host or "", req.url.port or 0)
+        while True:
+            conn = await super().connect(req, traces, timeout)
+            transport = conn.transport
+            if transport is None:
+                return conn
+            now_s = asyncio.get_running_loop().time()
+            if not self.silent.may_be_silent(
+                address, self._used_s.get(transport, now_s)
+            ):
+                self._used_s[transport] = now_s
+                return conn
+            conn.close()
+
+
 class ExchangeLimit:
     """Time limit of an exchange that is extended when part of the reply arrives.
 
@@ -122,13 +182,19 @@
         self.timeout.reschedule(min(idle_limit_s, self._latest_s))
 
 
-def new_session(connections: int) -> aiohttp.ClientSession:
-    """Return a session without cookies that does not decompress bodies."""
+def new_session(
+    connections: int, silent: SilentAddresses | None = None
+) -> aiohttp.ClientSession:
+    """Return a session without cookies that does not decompress bodies.
+
+    Sessions with the same ``silent`` share what they know of silent connections.
+    """
     trace = aiohttp.TraceConfig()
-    trace.on_connection_create_end.append(_record_connected)
-    trace.on_connection_reuseconn.append(_record_connected)
+    trace.on_connection_reuseconn.append(_record_reused)
+    trace.on_connection_create_end.append(_record_created)
+    trace.on_request_headers_sent.append(_record_sent)
     return aiohttp.ClientSession(
-        connector=aiohttp.TCPConnector(limit=connections),
+        connector=Connector(connections, silent or SilentAddresses()),
         cookie_jar=aiohttp.DummyCookieJar(),
         timeout=aiohttp.ClientTimeout(),
         headers={"Accept-Encoding": "identity"},
@@ -137,8 +203,17 @@
     )
 
 
-async def _record_connected(_: Any, context: SimpleNamespace, __: Any) -> None:
-    context.trace_request_ctx.connected = True
+async def _record_reused(_: Any, context: SimpleNamespace, __: Any) -> None:
+    context.trace_request_ctx.is_reused = True
+
+
+async def _record_created(_: Any, context: SimpleNamespace, __: Any) -> None:
+    # In place of one that may have been silent.
+    context.trace_request_ctx.is_reused = False
+
+
+async def _record_sent(_: Any, context: SimpleNamespace, __: Any) -> None:
+    context.trace_request_ctx.sent_s = asyncio.get_running_loop().time()
 
 
 async def exchange(
@@ -158,7 +233,7 @@
     With ``idle_timeout_ms``, ``timeout_ms`` limits only the time until the reply
     begins, and ``idle_timeout_ms`` each wait for the next part of it.
     """
-    progress = ConnectionTrace()
+    progress = ExchangeProgress()
     time_limit = ExchangeLimit(timeout_ms, idle_timeout_ms)
     try:
         url = _build_url(*address, path)
@@ -183,13 +258,26 @@
         return Err(ExchangeError(ExchangeErrorKind.MALFORMED, _describe(exc)))
     # A port out of range raises OverflowError.
     except (aiohttp.ClientError, OSError, ValueError, OverflowError, EOFError) as exc:
-        return Err(
-            ExchangeError(
-                _kind_of(exc, progress),
-                _describe(exc),
-                received_bytes=progress.received_bytes,
-            )
-        )
+        detail = _describe(exc)
+        if isinstance(exc, TimeoutError):
+            _record_timeout(session, address, progress)
+            detail = _describe_timeout(progress)
+        kind, received_bytes = _kind_of(exc, progress), progress.received_bytes
+        return Err(ExchangeError(kind, detail, received_bytes=received_bytes))
+
+
+def _record_timeout(
+    session: aiohttp.ClientSession, address: tuple[str, int], progress: ExchangeProgress
+) -> None:
+    connector = session.connector
+    if isinstance(connector, Connector) and progress.sent_s is not None:
+        connector.silent.record(address, progress.sent_s)
+
+
+def _describe_timeout(progress: ExchangeProgress) -> str:
+    if progress.sent_s is None:
+        return "timeout while connecting"
+    return f"timeout on a {'reused' if progress.is_reused else 'new'} connection"
 
 
 # Building a URL takes about as long as encoding a command.
@@ -198,8 +286,8 @@
     return URL.build(scheme="http", host=host, port=port, path=path)
 
 
-def _kind_of(exc: Exception, progress: ConnectionTrace) -> ExchangeErrorKind:
-    if progress.connected:
+def _kind_of(exc: Exception, progress: ExchangeProgress) -> ExchangeErrorKind:
+    if progress.sent_s is not None:
         return ExchangeErrorKind.NO_ANSWER
     cause = exc.os_error if isinstance(exc, aiohttp.ClientConnectorError) else exc
     if isinstance(cause, ConnectionRefusedError):
@@ -210,7 +298,7 @@
 async def _read_reply(
     response: aiohttp.ClientResponse,
     limit: int,
-    progress: ConnectionTrace,
+    progress: ExchangeProgress,
     time_limit: ExchangeLimit,
 ) -> Result[HttpReply, ExchangeError]:
     tag = response.headers.get("ETag", "")
--- a/hyssopweir/worker_http.py
+++ b/hyssopweir/worker_http.py
@@ -24,6 +24,7 @@
     ExchangeError,
     ExchangeErrorKind,
     HttpReply,
+    SilentAddresses,
     encode_json,
     exchange,
     new_session,
@@ -90,6 +91,7 @@
         self._call_timeout_ms = call_timeout_ms
         self._pools: dict[tuple[str, int], ConnectionPool] = {}
         self._closing: set[asyncio.Task[None]] = set()
+        self._silent = SilentAddresses()
 
     async def close(self) -> None:
         """Close all connections; busy ones are closed when their call ends."""
@@ -277,7 +279,11 @@
             detail = "all connections to the worker are in use"
             return Err(ExchangeError(ExchangeErrorKind.NOT_CONNECTED, detail))
         else:
-            session = pool.idle.pop() if pool.idle else new_session(connections=1)
+            session = (
+                pool.idle.pop()
+                if pool.idle
+                else new_session(connections=1, silent=self._silent)
+            )
             left_ms = max(int((deadline_s - loop.time()) * 1_000), 1)
             try:
                 return await exchange(
