List free workers in a heartbeat so that one fits whatever fits any

Lost endless tasks of a full cell could wait next to a free worker of another cell: a heartbeat listed the six workers with the most free processors and left out all others. If those have no free memory, no task seemed to fit.

Change: the list has each worker that no other one exceeds in every resource, at least six. CELL_LOAD shows what a heartbeat states, and ENDLESS_TASK_AWAY the memory of a task, to tell which resource a task waits for.

--- a/hyssopweir/cell_heartbeats.py
+++ b/hyssopweir/cell_heartbeats.py
@@ -68,7 +68,8 @@
     """Spare capacity of a cell for one service, in thousandths of a processor.
 
     ``waiting_cpu`` is what the waiting tasks require that a worker of the cell could
-    run. ``largest`` lists the free capacity of the workers that have most.
+    run. ``largest`` lists free capacities of workers, of which one fits any task
+    that fits a worker of the cell.
     """
 
     free_cpu: int = 0
--- a/hyssopweir/cell_maintenance.py
+++ b/hyssopweir/cell_maintenance.py
@@ -10,7 +10,7 @@
 from hyssopweir.clock import Millis
 from hyssopweir.events import Event
 from hyssopweir.filler_pacing import FillerPacing
-from hyssopweir.job_transfers import JobTransfers
+from hyssopweir.job_transfers import JobTransfers, describe_spare, spare_capacity
 from hyssopweir.placement_obstacles import MAX_REPORTS, describe_absent_tasks
 from hyssopweir.run_commands import RunCommands
 from hyssopweir.stragglers import (
@@ -114,6 +114,7 @@
             waiting=len(waiting),
             waiting_fillers=sum(step.is_filler for step in waiting),
             untried_jobs=self._scheduler.untried_jobs,
+            **describe_spare(spare_capacity(self._state)),
         )
 
     def _log_absent_tasks(self, now_ms: Millis) -> None:
--- a/hyssopweir/job_transfers.py
+++ b/hyssopweir/job_transfers.py
@@ -11,7 +11,7 @@
 import json
 import zlib
 from collections import Counter
-from collections.abc import Mapping, Sequence
+from collections.abc import Iterable, Mapping
 from typing import Any
 
 from result import Err
@@ -27,7 +27,6 @@
 from hyssopweir.events import Event
 from hyssopweir.resources import Resources
 from hyssopweir.row_store import MAX_ROW_BYTES, RowStore, StoredRow
-from hyssopweir.worker_load import WorkerLoad
 from hyssopweir.workflow_progress import WorkflowProgress, WorkflowState
 from hyssopweir.workflows import Step, decode_workflow, encode_workflow
 
@@ -39,21 +38,25 @@
 SPARE_FACTOR = 2
 CALL_TIMEOUT_MS: Millis = 800
 CHECK_INTERVAL_MS: Millis = 10_000
-# Workers whose free capacity a heartbeat states, about 20 bytes each.
-MAX_LARGEST = 6
+# Workers whose free capacity a heartbeat states at least, about 20 bytes each.
+MIN_LISTED_WORKERS = 6
 
 
 def spare_capacity(state: CellState) -> dict[str, SpareCapacity]:
     """Compute the spare capacity of a cell for each service."""
-    capacities: dict[str, SpareCapacity] = {}
+    free_cpu: Counter[str] = Counter()
+    free_by_service: dict[str, list[Resources]] = {}
     for link in state.links.values():
-        load = link.load
+        load, service = link.load, link.entry.service
         if load.is_confirmed and load.is_listed:
-            capacity = capacities.get(link.entry.service, SpareCapacity())
-            capacities[link.entry.service] = capacity._replace(
-                free_cpu=capacity.free_cpu + max(load.free.cpu, 0),
-                largest=_with_worker(capacity.largest, load, state.now_ms()),
-            )
+            free_cpu[service] += max(load.free.cpu, 0)
+            free = free_by_service.setdefault(service, [])
+            if load.accepts_tasks(state.now_ms()):
+                free.append(load.free)
+    capacities = {
+        service: SpareCapacity(free_cpu[service], largest=largest_free(free))
+        for service, free in free_by_service.items()
+    }
     waiting_cpu: Counter[str] = Counter()
     fits_by_key: dict[PlacementKey, bool] = {}
     for job in list(state.unplaced):
@@ -72,6 +75,17 @@
     return capacities
 
 
+def describe_spare(capacities: Mapping[str, SpareCapacity]) -> dict[str, Any]:
+    """Return event fields with what heartbeats state about the spare capacity."""
+    return {
+        "waiting_cpu": {name: room.waiting_cpu for name, room in capacities.items()},
+        "largest_free": {
+            name: [[free.cpu, free.memory_mb] for free in room.largest]
+            for name, room in capacities.items()
+        },
+    }
+
+
 def can_ever_fit(service: str, step: Step, state: CellState) -> bool:
     """Return whether a worker has the capacity for a step once all tasks that end have.
 
@@ -87,13 +101,18 @@
     )
 
 
-def _with_worker(
-    largest: Sequence[Resources], load: WorkerLoad, now_ms: Millis
-) -> tuple[Resources, ...]:
-    """Return the largest free capacities including those of one more worker."""
-    if not load.accepts_tasks(now_ms):
-        return tuple(largest)
-    return tuple(sorted((*largest, load.free), reverse=True)[:MAX_LARGEST])
+def largest_free(amounts: Iterable[Resources]) -> tuple[Resources, ...]:
+    """Return amounts of which one fits whatever fits any of all amounts.
+
+    These are the amounts that no other one exceeds in every component; further ones
+    follow up to ``MIN_LISTED_WORKERS``.
+    """
+    largest: list[Resources] = []
+    others: list[Resources] = []
+    for free in sorted(amounts, reverse=True):
+        is_exceeded = any(other.can_fit(free) for other in largest)
+        (others if is_exceeded else largest).append(free)
+    return (*largest, *others[: max(MIN_LISTED_WORKERS - len(largest), 0)])
 
 
 def open_steps_cpu(progress: WorkflowProgress) -> int:
--- a/hyssopweir/placement_obstacles.py
+++ b/hyssopweir/placement_obstacles.py
@@ -57,6 +57,7 @@
         "run": task.last_run,
         "away_ms": now_ms - progress.idle_since_ms(task),
         "cpu": step.charge.cpu,
+        "memory_mb": step.charge.memory_mb,
         "open_runs": [
             f"{run.phase.value} on {run.worker}" for run in task.runs.values()
         ],
--- a/tests/test_starvation.py
+++ b/tests/test_starvation.py
@@ -224,3 +224,29 @@
         assert not events_of(simulation, Event.JOB_MOVED)
 
     run_virtual(main())
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_workers_without_memory_hide_no_free_one_of_another_cell(seed: int) -> None:
+    """Guards against lost tasks that wait since a heartbeat lists only some workers.
+
+    The workers with the most free processors of the other cell have no free memory.
+    """
+
+    async def main() -> None:
+        simulation = CellSimulation(workers=3, cells=2, seed=seed)
+        for number in range(10, 18):
+            entry = build_entry(number, rack="r1", room=Resources(32_000, 500))
+            simulation.add_worker(entry)
+        await fill_first_cell(simulation)
+        lost = simulation.workers["w0"]
+        lost_tasks = {ref.task for ref in lost.running}
+        assert len(lost_tasks) == 4
+        lost.restart()
+        lost.is_cut = True
+        lost.is_listed = False
+        await simulation.sleep_ms(4_500 + 6_000)
+        running = {ref.task for ref in simulation.workers["w1"].running}
+        assert lost_tasks <= running
+
+    run_virtual(main())
