Hold a worker for lost endless tasks, also of other cells

Cause, shown in virtual time: a lost task is placed first, but only where it fits at that moment. Each part of a worker that becomes free goes to smaller tasks at once, so that a large task never fits until an empty worker comes to its own cell. Other cells don't see it either: their free capacity goes to their own waiting tasks before a heartbeat states it.

Change: a worker that has the capacity once its finite tasks have ended is held for lost endless tasks, an eighth of the workers of a service at most. Heartbeats state the capacity that can be reclaimed so, less that of the cell's own lost tasks. A lost task that fits no worker of its cell for this reason is transferred to a cell where it does.

--- a/hyssopweir/cell.py
+++ b/hyssopweir/cell.py
@@ -35,6 +35,7 @@
 from hyssopweir.job_transfers import (
     JobTransfers,
     encode_transfer,
+    reclaimable_capacity,
     spare_capacity,
 )
 from hyssopweir.ownership_proof import OwnershipProof
@@ -243,6 +244,7 @@
                 else self._previous_queues
             ),
             self._heartbeat_version,
+            reclaimable_capacity(self.state) if self._has_other_cells else {},
         )
 
     async def _await_loss(self) -> None:
--- a/hyssopweir/cell_heartbeats.py
+++ b/hyssopweir/cell_heartbeats.py
@@ -86,7 +86,8 @@
     """Heartbeat row of a cell: its owner and the spare capacity of each service.
 
     ``life`` identifies one process lifetime of the instance. ``queues`` counts the
-    pending jobs of each queue.
+    pending jobs of each queue. ``reclaimable`` lists by service capacities of workers
+    once all tasks that end have ended, of which one fits whatever fits any.
     """
 
     instance: str
@@ -97,6 +98,7 @@
     rooms: Mapping[str, SpareCapacity] = {}
     queues: Mapping[str, int] = {}
     version: int = ABSENT
+    reclaimable: Mapping[str, tuple[Resources, ...]] = {}
 
 
 class HeartbeatResult(NamedTuple):
@@ -139,6 +141,7 @@
     data = read_object(parse_bounded_json(row.value), "heartbeat")
     rooms = read_map(data.get("rooms"), "rooms", MAX_LISTED)
     queues = read_map(data.get("queues", {}), "queues", MAX_LISTED)
+    reclaimable = read_map(data.get("reclaimable", {}), "reclaimable", MAX_LISTED)
     return Heartbeat(
         read_text(data.get("instance"), "instance"),
         read_text(data.get("life"), "life"),
@@ -151,6 +154,10 @@
         },
         {read_text(queue, "queue"): read_int(n, "jobs") for queue, n in queues.items()},
         row.version,
+        {
+            read_text(service, "service"): _read_amounts(amounts, "reclaimable")
+            for service, amounts in reclaimable.items()
+        },
     )
 
 
@@ -165,10 +172,14 @@
         # Unknown runs may take more than a worker has.
         read_int(free_cpu, "free_cpu", -MAX_WHOLE, MAX_WHOLE),
         read_int(waiting_cpu, "waiting_cpu"),
-        tuple(_read_free(free) for free in read_list(largest, "largest", MAX_LISTED)),
+        _read_amounts(largest, "largest"),
     )
 
 
+def _read_amounts(value: Any, name: str) -> tuple[Resources, ...]:
+    return tuple(_read_free(free) for free in read_list(value, name, MAX_LISTED))
+
+
 def _read_free(value: Any) -> Resources:
     amounts = read_list(value, "free", len(Resources._fields))
     return Resources(
--- a/hyssopweir/cell_scheduler.py
+++ b/hyssopweir/cell_scheduler.py
@@ -12,7 +12,9 @@
 from hyssopweir.run_commands import RunCommands
 from hyssopweir.step_placement import (
     WorkerRanking,
+    can_fit_later,
     choose_worker_for_step,
+    has_place_in_step,
     rank_workers,
 )
 from hyssopweir.task_state import Run, Task, TaskRef
@@ -25,6 +27,8 @@
 # several passes, with the second number of such rankings in each.
 MAX_FAILED_RANKINGS = 24
 MAX_FAILED_RANKINGS_BEHIND = 8
+# At most this share of the workers of a service is kept free for lost endless tasks.
+MAX_HELD_SHARE = 0.125
 # Sorts jobs without an end after all others.
 UNBOUNDED_WORK = 1 << 60
 # Less than any task needs, also one that reserves nothing.
@@ -63,6 +67,43 @@
         # Rankings of all workers that yielded none for a task.
         self.failed_rankings = 0
         self._largest_free: dict[tuple[str, str], Resources] = {}
+        # By worker that is held for lost endless tasks, the capacity left for others
+        # of them.
+        self._held: dict[str, Resources] = {}
+
+    def hold_worker(self, ref: TaskRef, service: str, step: Step) -> None:
+        """Keep other tasks off a worker until a lost endless task fits there.
+
+        Otherwise smaller tasks would take each part of its capacity that becomes free.
+        """
+        workers = self.loads.get(service, ())
+        for load in workers:
+            left = self._held.get(load.entry.worker_id)
+            if left is not None and left.can_fit(step.charge):
+                self._held[load.entry.worker_id] = left.minus(step.charge)
+                return
+        if len(self._held) >= max(MAX_HELD_SHARE * len(workers), 1):
+            return
+        candidates = [
+            load
+            for load in workers
+            if load.entry.worker_id not in self._held
+            and can_fit_later(step, load)
+            and has_place_in_step(ref, step, load)
+        ]
+        if candidates:
+            load = max(candidates, key=lambda load: load.free)
+            left = load.reclaimable.minus(step.charge)
+            self._held[load.entry.worker_id] = left
+
+    def exclude_held(self) -> None:
+        """Leave the held workers out of the rest of the pass."""
+        if not self._held:
+            return
+        self.loads = {
+            service: [load for load in loads if load.entry.worker_id not in self._held]
+            for service, loads in self.loads.items()
+        }
 
     def may_fit(self, service: str, step: Step) -> bool:
         """Return False if some resource of a step is free in its amount on no worker.
@@ -115,6 +156,10 @@
             with self._state.guard(progress.key):
                 lost = progress.lost_endless_tasks()
                 new_runs.extend(self._place_tasks(progress, lost, current))
+                for ref, step, task in lost:
+                    if task.is_waiting():
+                        current.hold_worker(ref, progress.workflow.service, step)
+        current.exclude_held()
         for progress in self._jobs_within_bounds(jobs, current):
             with self._state.guard(progress.key):
                 if not is_unplaceable(progress, current.unplaceable):
--- a/hyssopweir/job_transfers.py
+++ b/hyssopweir/job_transfers.py
@@ -27,6 +27,7 @@
 from hyssopweir.events import Event
 from hyssopweir.resources import Resources
 from hyssopweir.row_store import MAX_ROW_BYTES, RowStore, StoredRow
+from hyssopweir.step_placement import can_fit_later
 from hyssopweir.workflow_progress import WorkflowProgress, WorkflowState
 from hyssopweir.workflows import Step, decode_workflow, encode_workflow
 
@@ -75,6 +76,35 @@
     return capacities
 
 
+def reclaimable_capacity(state: CellState) -> dict[str, tuple[Resources, ...]]:
+    """Compute by service what lost endless tasks of other cells could get here.
+
+    The lost tasks of this cell go first, each on the worker with most.
+    """
+    amounts: dict[str, list[Resources]] = {}
+    for link in state.links.values():
+        if link.load.accepts_tasks(state.now_ms()):
+            service = amounts.setdefault(link.entry.service, [])
+            service.append(link.load.reclaimable)
+    for job in list(state.unplaced):
+        with state.guard(job):
+            progress = state.jobs[job]
+            left = amounts.get(progress.workflow.service, [])
+            for _, step, _ in progress.lost_endless_tasks():
+                subtract_from_largest(left, step.charge)
+    return {service: largest_free(left) for service, left in amounts.items()}
+
+
+def subtract_from_largest(amounts: list[Resources], charge: Resources) -> bool:
+    """Subtract a charge from the largest amount that fits it; return False if none."""
+    fitting = [index for index, left in enumerate(amounts) if left.can_fit(charge)]
+    if not fitting:
+        return False
+    index = max(fitting, key=amounts.__getitem__)
+    amounts[index] = amounts[index].minus(charge)
+    return True
+
+
 def describe_spare(capacities: Mapping[str, SpareCapacity]) -> dict[str, Any]:
     """Return event fields with what heartbeats state about the spare capacity."""
     return {
@@ -95,8 +125,7 @@
         link.entry.service == service
         and link.load.is_listed
         and link.entry.state is WorkerState.READY
-        and (not step.label or step.label in link.entry.labels)
-        and link.entry.room.minus(link.load.lasting).can_fit(step.charge)
+        and can_fit_later(step, link.load)
         for link in state.links.values()
     )
 
--- a/hyssopweir/step_placement.py
+++ b/hyssopweir/step_placement.py
@@ -176,10 +176,21 @@
         return "other label"
     if step.is_filler and not _has_spare_cpu(step, load):
         return "no spare processor"
+    return "" if has_place_in_step(ref, step, load) else "limit of the step"
+
+
+def has_place_in_step(ref: TaskRef, step: Step, load: WorkerLoad) -> bool:
+    """Return whether a worker may run one more task of a step."""
     if not step.most_per_worker:
-        return ""
+        return True
     count = load.count_step(ref.job, ref.occurrence, ref.step)
-    return "" if count < step.most_per_worker else "limit of the step"
+    return count < step.most_per_worker
+
+
+def can_fit_later(step: Step, load: WorkerLoad) -> bool:
+    """Return whether a worker has the capacity for a step once its finite tasks end."""
+    has_label = not step.label or step.label in load.entry.labels
+    return has_label and load.reclaimable.can_fit(step.charge)
 
 
 def _has_spare_cpu(step: Step, load: WorkerLoad) -> bool:
--- a/hyssopweir/task_transfers.py
+++ b/hyssopweir/task_transfers.py
@@ -18,6 +18,8 @@
 from hyssopweir.clock import Millis
 from hyssopweir.events import Event
 from hyssopweir.input_bounds import InputError, input_errors, parse_bounded_json
+from hyssopweir.job_transfers import can_ever_fit, subtract_from_largest
+from hyssopweir.resources import Resources
 from hyssopweir.row_store import MAX_ROW_BYTES, StoredRow
 from hyssopweir.task_state import (
     TASK_SEPARATOR,
@@ -73,6 +75,7 @@
     def __init__(self) -> None:
         self._versions: dict[str, int] = {}
         self._free: dict[str, dict[str, FreeCapacity]] = {}
+        self._reclaimable: dict[str, dict[str, list[Resources]]] = {}
 
     def update(self, own: str, heartbeats: Mapping[str, Heartbeat]) -> None:
         """Replace the capacities of all other cells that have a newer heartbeat."""
@@ -81,6 +84,10 @@
                 continue
             self._versions[cell] = heartbeat.version
             rooms = {} if heartbeat.is_released else heartbeat.rooms
+            reclaimable = {} if heartbeat.is_released else heartbeat.reclaimable
+            self._reclaimable[cell] = {
+                service: list(amounts) for service, amounts in reclaimable.items()
+            }
             self._free[cell] = {
                 service: FreeCapacity(capacity) for service, capacity in rooms.items()
             }
@@ -107,6 +114,28 @@
         capacity.workers[index] = capacity.workers[index].minus(step.charge)
         return cell
 
+    def take_reclaimable(self, service: str, step: Step) -> str | None:
+        """Reserve capacity that finite tasks of a cell use; return the cell.
+
+        A lost endless task is placed there before all other work.
+        """
+        candidates = [
+            (max(fitting), cell)
+            for cell, services in self._reclaimable.items()
+            if (
+                fitting := [
+                    amount
+                    for amount in services.get(service, ())
+                    if amount.can_fit(step.charge)
+                ]
+            )
+        ]
+        if not candidates:
+            return None
+        _, cell = max(candidates)
+        subtract_from_largest(self._reclaimable[cell][service], step.charge)
+        return cell
+
 
 class TaskTransfers:
     """Sender of waiting tasks to other cells, and of the ends of tasks and jobs."""
@@ -180,7 +209,11 @@
         row = build_transferred(progress.workflow, self._state.cell, ref, task, hops)
         if len(encode_workflow(row)) > MAX_ROW_BYTES:
             return
-        cell = self._free_workers.take(progress.workflow.service, step)
+        service = progress.workflow.service
+        cell = self._free_workers.take(service, step)
+        is_lost = step.is_endless and not task.is_unstarted()
+        if cell is None and is_lost and not can_ever_fit(service, step, self._state):
+            cell = self._free_workers.take_reclaimable(service, step)
         if cell is not None:
             self._transfer(progress, ref, task, cell, waited_ms)
 
--- a/hyssopweir/worker_load.py
+++ b/hyssopweir/worker_load.py
@@ -52,6 +52,11 @@
         """Return the capacity that is not reserved."""
         return self.entry.room.minus(self.taken)
 
+    @property
+    def reclaimable(self) -> Resources:
+        """Return the capacity that is free once all tasks that end have ended."""
+        return self.entry.room.minus(self.lasting)
+
     def reserve(self, run: Run, step: Step) -> None:
         """Reserve the capacity of a run."""
         if run.ref in self.runs:
--- a/tests/test_starvation.py
+++ b/tests/test_starvation.py
@@ -23,6 +23,10 @@
 MANY = 60
 # The users allow a job to wait for 3 s while there is capacity.
 START_LIMIT_MS = 3_000
+# The longest lease of a lost worker, then the time that users allow for a new run.
+LOST_LIMIT_MS = 4_500 + 6_000
+# Wait in the own cell, and the writes of a transfer.
+TRANSFER_MS = 2_000
 # Steps that no worker of the second cell can run as long as its endless tasks run.
 BLOCKED_STEPS = {
     "missing label": build_step(1, label="b"),
@@ -226,6 +230,13 @@
     run_virtual(main())
 
 
+def lose_worker(simulation: CellSimulation, name: str) -> None:
+    worker = simulation.workers[name]
+    worker.restart()
+    worker.is_cut = True
+    worker.is_listed = False
+
+
 @pytest.mark.parametrize("seed", range(3))
 def test_workers_without_memory_hide_no_free_one_of_another_cell(seed: int) -> None:
     """Guards against lost tasks that wait since a heartbeat lists only some workers.
@@ -239,14 +250,67 @@
             entry = build_entry(number, rack="r1", room=Resources(32_000, 500))
             simulation.add_worker(entry)
         await fill_first_cell(simulation)
-        lost = simulation.workers["w0"]
-        lost_tasks = {ref.task for ref in lost.running}
+        lost_tasks = {ref.task for ref in simulation.workers["w0"].running}
         assert len(lost_tasks) == 4
-        lost.restart()
-        lost.is_cut = True
-        lost.is_listed = False
-        await simulation.sleep_ms(4_500 + 6_000)
+        lose_worker(simulation, "w0")
+        await simulation.sleep_ms(LOST_LIMIT_MS)
         running = {ref.task for ref in simulation.workers["w1"].running}
         assert lost_tasks <= running
 
     run_virtual(main())
+
+
+async def submit_backlog(simulation: CellSimulation, jobs: list[str]) -> None:
+    """Submit more short tasks than fit, which end at different times."""
+    for number, job in enumerate(jobs):
+        duration_ms = 700 + 37 * number % 600
+        step = build_step(2, room=Resources(500, 100), estimated_ms=duration_ms)
+        assert await simulation.submit(build_workflow(job, step))
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_lost_endless_task_gets_a_worker_that_short_tasks_keep_busy(seed: int) -> None:
+    """Guards against a large lost task that smaller ones keep from ever fitting."""
+
+    async def main() -> None:
+        simulation = CellSimulation(workers=1, seed=seed)
+        await simulation.sleep_ms(1_000)
+        endless = build_step(1, room=Resources(6_000, 1_000), is_endless=True)
+        assert await simulation.submit(build_workflow("endless", endless))
+        await simulation.sleep_ms(500)
+        simulation.add_worker(build_entry(1))
+        await simulation.sleep_ms(500)
+        await submit_backlog(simulation, [f"b{n}" for n in range(250)])
+        await simulation.sleep_ms(1_000)
+        lose_worker(simulation, "w0")
+        await simulation.sleep_ms(LOST_LIMIT_MS)
+        running = {ref.task.job for ref in simulation.workers["w1"].running}
+        assert "endless" in running
+        assert simulation.work.breaches == []
+
+    run_virtual(main())
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_lost_endless_task_gets_a_busy_worker_of_another_cell(seed: int) -> None:
+    """Guards against lost tasks of a cell full of endless ones next to a busy cell."""
+
+    async def main() -> None:
+        simulation = CellSimulation(workers=4, cells=2, seed=seed)
+        await simulation.sleep_ms(1_500)
+        endless = build_step(2, room=Resources(6_000, 1_000), is_endless=True)
+        job = job_ids_of_cell("c0", simulation, 1)[0]
+        assert await simulation.submit(build_workflow(job, endless))
+        await simulation.sleep_ms(500)
+        await submit_backlog(simulation, job_ids_of_cell("c1", simulation, 500))
+        await simulation.sleep_ms(1_000)
+        lose_worker(simulation, "w0")
+        await simulation.sleep_ms(LOST_LIMIT_MS + TRANSFER_MS)
+        names = [name for name, fake in simulation.workers.items() if not fake.is_cut]
+        running = [
+            ref.task for name in names for ref in simulation.workers[name].running
+        ]
+        assert sum(task.job == job for task in running) == 2
+        assert simulation.work.breaches == []
+
+    run_virtual(main())
