Move spare capacity and silent connections to modules of their own

job_transfers.py had come to hold what heartbeats state of a cell's capacity, which task transfers and the log use as well, and platform_client.py a connector. Code is moved only.

--- a/hyssopweir/cell.py
+++ b/hyssopweir/cell.py
@@ -35,8 +35,6 @@
 from hyssopweir.job_transfers import (
     JobTransfers,
     encode_transfer,
-    reclaimable_capacity,
-    spare_capacity,
 )
 from hyssopweir.ownership_proof import OwnershipProof
 from hyssopweir.row_commits import OwnershipLostError, RowCommits, commit_pause_ms
@@ -50,6 +48,7 @@
 )
 from hyssopweir.run_commands import RunCommands
 from hyssopweir.run_reports import RunReports
+from hyssopweir.spare_capacity import reclaimable_capacity, spare_capacity
 from hyssopweir.task_transfers import TaskTransfers
 from hyssopweir.workflow_progress import (
     WorkflowProgress,
--- a/hyssopweir/cell_maintenance.py
+++ b/hyssopweir/cell_maintenance.py
@@ -10,9 +10,10 @@
 from hyssopweir.clock import Millis
 from hyssopweir.events import Event
 from hyssopweir.filler_pacing import FillerPacing
-from hyssopweir.job_transfers import JobTransfers, describe_spare, spare_capacity
+from hyssopweir.job_transfers import JobTransfers
 from hyssopweir.placement_obstacles import MAX_REPORTS, describe_absent_tasks
 from hyssopweir.run_commands import RunCommands
+from hyssopweir.spare_capacity import describe_spare, spare_capacity
 from hyssopweir.stragglers import (
     DurationComparison,
     compare_durations,
--- a/hyssopweir/platform_client.py
+++ b/hyssopweir/platform_client.py
@@ -13,12 +13,9 @@
 from io import BytesIO
 from types import SimpleNamespace
 from typing import Any, NamedTuple, TypeVar
-from weakref import WeakKeyDictionary
 
 import aiohttp
-from aiohttp.connector import Connection
 from aiohttp.http_exceptions import HttpProcessingError
-from aiohttp.tracing import Trace
 from mode import Service
 from result import Err, Ok, Result
 from yarl import URL
@@ -33,6 +30,7 @@
     parse_bounded_json,
 )
 from hyssopweir.settings import Address
+from hyssopweir.silent_connections import Connector, SilentAddresses
 from hyssopweir.table import Operation, Page, Put, Row, operation_to_dict
 
 T = TypeVar("T")
@@ -46,8 +44,6 @@
 MAX_OBJECT_BYTES = 16 * 1_048_576
 # Bounds an exchange whose reply arrives too slowly ever to complete.
 MAX_EXCHANGE_MS: Millis = 30_000
-# Idle connections are closed after this time.
-IDLE_CONNECTION_S = 15.0
 # There are few distinct periodic reads; the bounds keep large one-time reads out of
 # the cache.
 MAX_CACHED_READS = 32
@@ -107,60 +103,6 @@
     received_bytes = 0
 
 
-class SilentAddresses:
-    """Addresses that left requests unanswered, with the time of the latest of them.
-
-    The connections to such an address that were last used before may all be silent.
-    """
-
-    def __init__(self) -> None:
-        self._sent_s: dict[tuple[str, int], float] = {}
-
-    def record(self, address: tuple[str, int], sent_s: float) -> None:
-        """Record that a request that was sent at a time got no reply."""
-        oldest_s = sent_s - IDLE_CONNECTION_S
-        self._sent_s = {at: s for at, s in self._sent_s.items() if s > oldest_s}
-        self._sent_s[address] = max(sent_s, self._sent_s.get(address, sent_s))
-
-    def may_be_silent(self, address: tuple[str, int], used_s: float) -> bool:
-        """Return whether a connection that was last used at a time may be silent."""
-        return used_s < self._sent_s.get(address, used_s)
-
-
-class Connector(aiohttp.TCPConnector):
-    """Connector that does not reuse connections that may have gone silent.
-
-    A connection can go silent without a reset, often together with all others that are
-    open. It would cost each of the next calls its timeout.
-    """
-
-    def __init__(self, connections: int, silent: SilentAddresses) -> None:
-        super().__init__(limit=connections, keepalive_timeout=IDLE_CONNECTION_S)
-        self.silent = silent
-        self._used_s: WeakKeyDictionary[asyncio.Transport, float] = WeakKeyDictionary()
-
-    async def connect(
-        self,
-        req: aiohttp.ClientRequest,
-        traces: list[Trace],
-        timeout: aiohttp.ClientTimeout,
-    ) -> Connection:
-        """Return a connection that has not gone silent as far as is known."""
-        address = (req.url.raw_host or "", req.url.port or 0)
-        while True:
-            conn = await super().connect(req, traces, timeout)
-            transport = conn.transport
-            if transport is None:
-                return conn
-            now_s = asyncio.get_running_loop().time()
-            if not self.silent.may_be_silent(
-                address, self._used_s.get(transport, now_s)
-            ):
-                self._used_s[transport] = now_s
-                return conn
-            conn.close()
-
-
 class ExchangeLimit:
     """Time limit of an exchange that is extended when part of the reply arrives.
 
--- /dev/null
+++ b/hyssopweir/silent_connections.py
@@ -0,0 +1,65 @@
+"""Connections that went silent without a reset, and are not to be reused."""
+
+import asyncio
+from weakref import WeakKeyDictionary
+
+import aiohttp
+from aiohttp.connector import Connection
+from aiohttp.tracing import Trace
+
+# Idle connections are closed after this time.
+IDLE_CONNECTION_S = 15.0
+
+
+class SilentAddresses:
+    """Addresses that left requests unanswered, with the time of the latest of them.
+
+    The connections to such an address that were last used before may all be silent.
+    """
+
+    def __init__(self) -> None:
+        self._sent_s: dict[tuple[str, int], float] = {}
+
+    def record(self, address: tuple[str, int], sent_s: float) -> None:
+        """Record that a request that was sent at a time got no reply."""
+        oldest_s = sent_s - IDLE_CONNECTION_S
+        self._sent_s = {at: s for at, s in self._sent_s.items() if s > oldest_s}
+        self._sent_s[address] = max(sent_s, self._sent_s.get(address, sent_s))
+
+    def may_be_silent(self, address: tuple[str, int], used_s: float) -> bool:
+        """Return whether a connection that was last used at a time may be silent."""
+        return used_s < self._sent_s.get(address, used_s)
+
+
+class Connector(aiohttp.TCPConnector):
+    """Connector that does not reuse connections that may have gone silent.
+
+    A connection can go silent without a reset, often together with all others that are
+    open. It would cost each of the next calls its timeout.
+    """
+
+    def __init__(self, connections: int, silent: SilentAddresses) -> None:
+        super().__init__(limit=connections, keepalive_timeout=IDLE_CONNECTION_S)
+        self.silent = silent
+        self._used_s: WeakKeyDictionary[asyncio.Transport, float] = WeakKeyDictionary()
+
+    async def connect(
+        self,
+        req: aiohttp.ClientRequest,
+        traces: list[Trace],
+        timeout: aiohttp.ClientTimeout,
+    ) -> Connection:
+        """Return a connection that has not gone silent as far as is known."""
+        address = (req.url.raw_host or "", req.url.port or 0)
+        while True:
+            conn = await super().connect(req, traces, timeout)
+            transport = conn.transport
+            if transport is None:
+                return conn
+            now_s = asyncio.get_running_loop().time()
+            if not self.silent.may_be_silent(
+                address, self._used_s.get(transport, now_s)
+            ):
+                self._used_s[transport] = now_s
+                return conn
+            conn.close()
--- /dev/null
+++ b/hyssopweir/spare_capacity.py
@@ -0,0 +1,117 @@
+"""Capacity of a cell that its heartbeats offer to the work of other cells."""
+
+from collections import Counter
+from collections.abc import Iterable, Mapping
+from typing import Any
+
+from hyssopweir.agents import WorkerState
+from hyssopweir.cell_heartbeats import SpareCapacity
+from hyssopweir.cell_scheduler import PlacementKey, placement_key
+from hyssopweir.cell_state import CellState
+from hyssopweir.resources import Resources
+from hyssopweir.step_placement import can_fit_later
+from hyssopweir.workflows import Step
+
+# Workers whose free capacity a heartbeat states at least, about 20 bytes each.
+MIN_LISTED_WORKERS = 6
+
+
+def spare_capacity(state: CellState) -> dict[str, SpareCapacity]:
+    """Compute the spare capacity of a cell for each service."""
+    free_cpu: Counter[str] = Counter()
+    free_by_service: dict[str, list[Resources]] = {}
+    for link in state.links.values():
+        load, service = link.load, link.entry.service
+        if load.is_confirmed and load.is_listed:
+            free_cpu[service] += max(load.free.cpu, 0)
+            free = free_by_service.setdefault(service, [])
+            if load.accepts_tasks(state.now_ms()):
+                free.append(load.free)
+    capacities = {
+        service: SpareCapacity(free_cpu[service], largest=largest_free(free))
+        for service, free in free_by_service.items()
+    }
+    waiting_cpu: Counter[str] = Counter()
+    fits_by_key: dict[PlacementKey, bool] = {}
+    for job in list(state.unplaced):
+        with state.guard(job):
+            progress = state.jobs[job]
+            service = progress.workflow.service
+            for key, step in progress.active_steps():
+                step_key = placement_key(service, step)
+                if step_key not in fits_by_key:
+                    fits_by_key[step_key] = can_ever_fit(service, step, state)
+                if fits_by_key[step_key]:
+                    waiting_cpu[service] += step.room.cpu * progress.count_waiting(key)
+    for service, cpu in waiting_cpu.items():
+        capacity = capacities.get(service, SpareCapacity())
+        capacities[service] = capacity._replace(waiting_cpu=cpu)
+    return capacities
+
+
+def reclaimable_capacity(state: CellState) -> dict[str, tuple[Resources, ...]]:
+    """Compute by service what lost endless tasks of other cells could get here.
+
+    The lost tasks of this cell go first, each on the worker with most.
+    """
+    amounts: dict[str, list[Resources]] = {}
+    for link in state.links.values():
+        if link.load.accepts_tasks(state.now_ms()):
+            service = amounts.setdefault(link.entry.service, [])
+            service.append(link.load.reclaimable)
+    for job in list(state.unplaced):
+        with state.guard(job):
+            progress = state.jobs[job]
+            left = amounts.get(progress.workflow.service, [])
+            for _, step, _ in progress.lost_endless_tasks():
+                subtract_from_largest(left, step.charge)
+    return {service: largest_free(left) for service, left in amounts.items()}
+
+
+def subtract_from_largest(amounts: list[Resources], charge: Resources) -> bool:
+    """Subtract a charge from the largest amount that fits it; return False if none."""
+    fitting = [index for index, left in enumerate(amounts) if left.can_fit(charge)]
+    if not fitting:
+        return False
+    index = max(fitting, key=amounts.__getitem__)
+    amounts[index] = amounts[index].minus(charge)
+    return True
+
+
+def describe_spare(capacities: Mapping[str, SpareCapacity]) -> dict[str, Any]:
+    """Return event fields with what heartbeats state about the spare capacity."""
+    return {
+        "waiting_cpu": {name: room.waiting_cpu for name, room in capacities.items()},
+        "largest_free": {
+            name: [[free.cpu, free.memory_mb] for free in room.largest]
+            for name, room in capacities.items()
+        },
+    }
+
+
+def can_ever_fit(service: str, step: Step, state: CellState) -> bool:
+    """Return whether a worker has the capacity for a step once all tasks that end have.
+
+    A task that no worker can run doesn't compete with others for their capacity.
+    """
+    return any(
+        link.entry.service == service
+        and link.load.is_listed
+        and link.entry.state is WorkerState.READY
+        and can_fit_later(step, link.load)
+        for link in state.links.values()
+    )
+
+
+def largest_free(amounts: Iterable[Resources]) -> tuple[Resources, ...]:
+    """Return amounts of which one fits whatever fits any of all amounts.
+
+    These are the amounts that no other one exceeds in every component; further ones
+    follow up to ``MIN_LISTED_WORKERS``.
+    """
+    largest: list[Resources] = []
+    others: list[Resources] = []
+    for free in sorted(amounts, reverse=True):
+        is_exceeded = any(other.can_fit(free) for other in largest)
+        (others if is_exceeded else largest).append(free)
+    return (*largest, *others[: max(MIN_LISTED_WORKERS - len(largest), 0)])
--- a/hyssopweir/task_transfers.py
+++ b/hyssopweir/task_transfers.py
@@ -18,9 +18,9 @@
 from hyssopweir.clock import Millis
 from hyssopweir.events import Event
 from hyssopweir.input_bounds import InputError, input_errors, parse_bounded_json
-from hyssopweir.job_transfers import can_ever_fit, subtract_from_largest
 from hyssopweir.resources import Resources
 from hyssopweir.row_store import MAX_ROW_BYTES, StoredRow
+from hyssopweir.spare_capacity import can_ever_fit, subtract_from_largest
 from hyssopweir.task_state import (
     TASK_SEPARATOR,
     Task,
--- a/hyssopweir/worker_http.py
+++ b/hyssopweir/worker_http.py
@@ -24,13 +24,13 @@
     ExchangeError,
     ExchangeErrorKind,
     HttpReply,
-    SilentAddresses,
     encode_json,
     exchange,
     new_session,
     parse_json,
     require_field,
 )
+from hyssopweir.silent_connections import SilentAddresses
 from hyssopweir.worker_client import (
     Fence,
     Inventory,
