Compare a timeout with the time of a connection's last reply

Cause: in the time at which a connection was handed out stood for that of its last reply. After a burst of calls of which one timed out, the connections of all others were closed although they had replied since: a new connection for each of them.

Change: the time is taken when the connection is released, after a complete reply.

--- a/hyssopweir/silent_connections.py
+++ b/hyssopweir/silent_connections.py
@@ -1,6 +1,7 @@
 """Connections that went silent without a reset, and are not to be reused."""
 
 import asyncio
+from functools import partial
 from weakref import WeakKeyDictionary
 
 import aiohttp
@@ -14,7 +15,7 @@
 class SilentAddresses:
     """Addresses that left requests unanswered, with the time of the latest of them.
 
-    The connections to such an address that were last used before may all be silent.
+    The connections to such an address whose last reply is older may all be silent.
     """
 
     def __init__(self) -> None:
@@ -26,9 +27,9 @@
         self._sent_s = {at: s for at, s in self._sent_s.items() if s > oldest_s}
         self._sent_s[address] = max(sent_s, self._sent_s.get(address, sent_s))
 
-    def may_be_silent(self, address: tuple[str, int], used_s: float) -> bool:
-        """Return whether a connection that was last used at a time may be silent."""
-        return used_s < self._sent_s.get(address, used_s)
+    def may_be_silent(self, address: tuple[str, int], replied_s: float) -> bool:
+        """Return whether a connection whose last reply came at a time may be silent."""
+        return replied_s < self._sent_s.get(address, replied_s)
 
 
 class Connector(aiohttp.TCPConnector):
@@ -41,7 +42,10 @@
     def __init__(self, connections: int, silent: SilentAddresses) -> None:
         super().__init__(limit=connections, keepalive_timeout=IDLE_CONNECTION_S)
         self.silent = silent
-        self._used_s: WeakKeyDictionary[asyncio.Transport, float] = WeakKeyDictionary()
+        # Times of the last reply on connections that were used before.
+        self._replied_s: WeakKeyDictionary[asyncio.Transport, float] = (
+            WeakKeyDictionary()
+        )
 
     async def connect(
         self,
@@ -56,10 +60,12 @@
             transport = conn.transport
             if transport is None:
                 return conn
-            now_s = asyncio.get_running_loop().time()
-            if not self.silent.may_be_silent(
-                address, self._used_s.get(transport, now_s)
-            ):
-                self._used_s[transport] = now_s
+            replied_s = self._replied_s.get(transport)
+            if replied_s is None or not self.silent.may_be_silent(address, replied_s):
+                conn.add_callback(partial(self._record_reply, transport))
                 return conn
             conn.close()
+
+    def _record_reply(self, transport: asyncio.Transport) -> None:
+        """Record that a connection is released, which it is after a complete reply."""
+        self._replied_s[transport] = asyncio.get_running_loop().time()
--- a/tests/test_silent_connections.py
+++ b/tests/test_silent_connections.py
@@ -131,6 +131,30 @@
     asyncio.run(main())
 
 
+def test_timeout_in_a_burst_keeps_the_connections_of_the_other_calls() -> None:
+    """Guards against new connections for all calls of a burst after one timeout."""
+
+    async def main() -> None:
+        async with running_proxy() as proxy:
+            client = JsonHttpClient()
+            address = (HOST, proxy.port)
+            paths = ["/rows-get"] * CONNECTIONS + ["/silent"]
+            await asyncio.gather(
+                *(client.request("GET", address, path, TIMEOUT_MS) for path in paths)
+            )
+            assert proxy.accepted == CONNECTIONS + 1
+            await asyncio.gather(
+                *(
+                    client.request("GET", address, "/rows-get", TIMEOUT_MS)
+                    for _ in range(CONNECTIONS)
+                )
+            )
+            assert proxy.accepted == CONNECTIONS + 1
+            await client.close()
+
+    asyncio.run(main())
+
+
 def test_silence_of_one_address_keeps_the_connections_to_others() -> None:
     """Guards against new connections to all workers after one falls silent."""
 
