--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 BINARY ?= dist/hyssopweir
 # Test processes; most tests run in virtual time and need no idle processor.
 TEST_JOBS ?= 4
-SOURCES := hyssopweir tests benchmarks experiments
+SOURCES := hyssopweir tests benchmarks experiments soak
 
 .PHONY: demo test check format binary bench experiment soak clean
 
--- /dev/null
+++ b/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Soak run of real processes with faults that are injected from outside."""
--- /dev/null
+++ b/soak/faults.py
@@ -0,0 +1,330 @@
+"""Faults of a run: a seeded plan and their injection from outside."""
+
+import asyncio
+import random
+import signal
+from collections.abc import Sequence
+from enum import StrEnum
+from functools import singledispatch
+from typing import NamedTuple
+
+from soak.deployment import Deployment
+from soak.events import ConfigurationWritten, Disturbance, Millis
+from soak.proxy import HOST, Address, LinkState, Proxy
+from soak.shapes import EXTRA_QUEUE, configuration
+from soak.store import OPERATOR_TABLE
+
+# Probability that a fault hits what the previous one of its kind hit.
+REPEATED_SHARE = 0.4
+NO_TARGET: Address = (HOST, 0)
+# Versions of configurations increase in uneven steps.
+MAX_VERSION_STEP = 4
+
+
+class LinkFaultKind(StrEnum):
+    """What a proxy does to a link."""
+
+    REFUSE = "refuse"
+    RESET = "reset"
+    SILENCE = "silence"
+    DELAY = "delay"
+    CUT = "cut"
+    CUT_REQUESTS = "cut-requests"
+    CUT_REPLIES = "cut-replies"
+    MISROUTE = "misroute"
+
+
+LINK_STATES = {
+    LinkFaultKind.CUT: LinkState(cuts_requests=True, cuts_replies=True),
+    LinkFaultKind.CUT_REQUESTS: LinkState(cuts_requests=True),
+    LinkFaultKind.CUT_REPLIES: LinkState(cuts_replies=True),
+    LinkFaultKind.DELAY: LinkState(delay_ms=250),
+}
+
+
+class WorkerLinkFault(NamedTuple):
+    """The link of all instances to a worker is disturbed."""
+
+    at_ms: Millis
+    duration_ms: Millis
+    worker: int
+    kind: LinkFaultKind
+
+
+class StoreLinkFault(NamedTuple):
+    """The links of some instances to the store are disturbed."""
+
+    at_ms: Millis
+    duration_ms: Millis
+    instances: tuple[int, ...]
+    kind: LinkFaultKind
+
+
+class Pause(NamedTuple):
+    """An instance is paused and goes on."""
+
+    at_ms: Millis
+    duration_ms: Millis
+    instance: int
+
+
+class Restart(NamedTuple):
+    """An instance is killed or stopped, and started again."""
+
+    at_ms: Millis
+    duration_ms: Millis
+    instance: int
+    is_stopped: bool
+
+
+class WorkerCrash(NamedTuple):
+    """A worker crashes and starts again."""
+
+    at_ms: Millis
+    duration_ms: Millis
+    worker: int
+    has_new_id: bool
+
+
+class QueueChange(NamedTuple):
+    """The operator adds a queue and removes it after a while."""
+
+    at_ms: Millis
+    duration_ms: Millis
+
+
+Fault = WorkerLinkFault | StoreLinkFault | Pause | Restart | WorkerCrash | QueueChange
+
+# Names on the command line with the weight that each has in a plan.
+WEIGHTS = {
+    "refuse": 4,
+    "misroute": 2,
+    "silence": 2,
+    "reset": 1,
+    "delay": 1,
+    "cut": 2,
+    "pause": 2,
+    "kill": 1.5,
+    "stop": 1,
+    "crash": 1.5,
+    "store": 2,
+    "store-down": 0.5,
+    "config": 1,
+}
+
+
+class Plan:
+    """Seeded faults between two times, in series and overlapping."""
+
+    def __init__(
+        self, rng: random.Random, instances: int, workers: int, kinds: Sequence[str]
+    ) -> None:
+        self._rng = rng
+        self._instances = instances
+        self._workers = workers
+        self._kinds = kinds
+        self._instance = 0
+        self._worker = 0
+
+    def faults(self, start_ms: Millis, end_ms: Millis, gap_ms: Millis) -> list[Fault]:
+        """Return faults that begin in the interval, ``gap_ms`` apart on average."""
+        faults: list[Fault] = []
+        at_ms = start_ms
+        while True:
+            at_ms += self._rng.expovariate(1 / gap_ms)
+            if at_ms >= end_ms:
+                return faults
+            weights = [WEIGHTS[kind] for kind in self._kinds]
+            kind = self._rng.choices(self._kinds, weights)[0]
+            faults.append(self._fault(kind, at_ms))
+
+    def _fault(self, kind: str, at_ms: Millis) -> Fault:
+        rng = self._rng
+        if rng.random() >= REPEATED_SHARE:
+            self._instance = rng.randrange(self._instances)
+            self._worker = rng.randrange(self._workers)
+        match kind:
+            case "pause":
+                return Pause(at_ms, rng.uniform(1_000, 7_000), self._instance)
+            case "kill" | "stop":
+                away_ms = rng.uniform(300, 3_000)
+                return Restart(at_ms, away_ms, self._instance, kind == "stop")
+            case "crash":
+                away_ms = rng.uniform(300, 5_000)
+                return WorkerCrash(at_ms, away_ms, self._worker, rng.random() < 0.4)
+            case "config":
+                return QueueChange(at_ms, rng.uniform(3_000, 6_000))
+            case "store" | "store-down":
+                kinds = [k for k in LinkFaultKind if k != LinkFaultKind.MISROUTE]
+                is_all = kind == "store-down"
+                hit = tuple(range(self._instances)) if is_all else (self._instance,)
+                duration_ms = rng.uniform(500, 6_000)
+                return StoreLinkFault(at_ms, duration_ms, hit, rng.choice(kinds))
+        link_kind = LinkFaultKind(kind)
+        if link_kind is LinkFaultKind.CUT:
+            link_kind = rng.choice(
+                [
+                    LinkFaultKind.CUT,
+                    LinkFaultKind.CUT_REQUESTS,
+                    LinkFaultKind.CUT_REPLIES,
+                ]
+            )
+        limit_ms = 3_000 if link_kind in REFUSING_KINDS else 7_000
+        return WorkerLinkFault(
+            at_ms, rng.uniform(500, limit_ms), self._worker, link_kind
+        )
+
+
+REFUSING_KINDS = frozenset({LinkFaultKind.REFUSE, LinkFaultKind.MISROUTE})
+
+
+class Injector:
+    """Injects the faults of a plan into a deployment."""
+
+    def __init__(self, deployment: Deployment, rng: random.Random) -> None:
+        self.deployment = deployment
+        self.rng = rng
+        self.version = 0
+        self.extra: tuple[str, ...] = ()
+        self.busy: set[object] = set()
+
+    async def run(self, faults: Sequence[Fault]) -> None:
+        """Inject all faults and return when the last one is over."""
+        async with asyncio.TaskGroup() as group:
+            for fault in faults:
+                group.create_task(self._inject(fault))
+
+    async def _inject(self, fault: Fault) -> None:
+        left_ms = fault.at_ms - self.deployment.record.now_ms()
+        await asyncio.sleep(max(left_ms, 0) / 1_000)
+        await inject(fault, self)
+
+    def note(
+        self, kind: str, started_ms: Millis, instance: str = "", worker: str = ""
+    ) -> None:
+        """Record a fault that is over now."""
+        now_ms = self.deployment.record.now_ms()
+        self.deployment.record.add(
+            Disturbance(started_ms, now_ms, kind, instance, worker)
+        )
+
+    def configure(self, extra: tuple[str, ...]) -> None:
+        """Write a configuration with these queues beside the lasting ones."""
+        self.version += self.rng.randint(1, MAX_VERSION_STEP)
+        self.extra = extra
+        deployment = self.deployment
+        data = configuration(deployment.shape, self.version, extra)
+        deployment.store.put(OPERATOR_TABLE, "config", data)
+        queues = tuple(queue.name for queue in deployment.shape.queues) + extra
+        deployment.record.add(
+            ConfigurationWritten(deployment.record.now_ms(), self.version, queues)
+        )
+
+
+@singledispatch
+async def inject(fault: Fault, injector: Injector) -> None:
+    """Inject a fault and return when it is over."""
+    raise TypeError(f"unknown fault {fault}")
+
+
+@inject.register
+async def _(fault: WorkerLinkFault, injector: Injector) -> None:
+    sites = injector.deployment.sites
+    site, other = sites[fault.worker], sites[(fault.worker + 1) % len(sites)]
+    worker, started_ms = site.worker.life.worker, injector.deployment.record.now_ms()
+    await _disturb(site.proxy, fault.kind, fault.duration_ms, other.target)
+    injector.note(fault.kind, started_ms, worker=worker)
+
+
+@inject.register
+async def _(fault: StoreLinkFault, injector: Injector) -> None:
+    deployment = injector.deployment
+    names = [deployment.instances[number].name for number in fault.instances]
+    started_ms = deployment.record.now_ms()
+    proxies = [deployment.store_proxies[name] for name in names]
+    async with asyncio.TaskGroup() as group:
+        for proxy in proxies:
+            group.create_task(_disturb(proxy, fault.kind, fault.duration_ms))
+    kind = f"store {fault.kind}"
+    if len(names) > 1:
+        injector.note(kind, started_ms)
+        return
+    injector.note(kind, started_ms, instance=names[0])
+
+
+async def _disturb(
+    proxy: Proxy,
+    kind: LinkFaultKind,
+    duration_ms: Millis,
+    wrong_target: Address = NO_TARGET,
+) -> None:
+    duration_s = duration_ms / 1_000
+    if kind is LinkFaultKind.REFUSE:
+        await proxy.refuse()
+        proxy.reset()
+        await asyncio.sleep(duration_s)
+        await proxy.admit()
+    elif kind is LinkFaultKind.RESET:
+        proxy.reset()
+    elif kind is LinkFaultKind.SILENCE:
+        proxy.silence()
+    elif kind is LinkFaultKind.MISROUTE:
+        with proxy.misrouted(wrong_target):
+            await asyncio.sleep(duration_s)
+    else:
+        with proxy.degraded(LINK_STATES[kind]):
+            await asyncio.sleep(duration_s)
+
+
+@inject.register
+async def _(fault: Pause, injector: Injector) -> None:
+    instance = injector.deployment.instances[fault.instance]
+    if instance.name in injector.busy:
+        return
+    injector.busy.add(instance.name)
+    started_ms = injector.deployment.record.now_ms()
+    instance.send(signal.SIGSTOP)
+    await asyncio.sleep(fault.duration_ms / 1_000)
+    instance.send(signal.SIGCONT)
+    injector.busy.discard(instance.name)
+    injector.note("pause", started_ms, instance=instance.name)
+
+
+@inject.register
+async def _(fault: Restart, injector: Injector) -> None:
+    instance = injector.deployment.instances[fault.instance]
+    if instance.name in injector.busy:
+        return
+    injector.busy.add(instance.name)
+    started_ms = injector.deployment.record.now_ms()
+    if fault.is_stopped:
+        await instance.stop()
+    else:
+        instance.kill()
+    await asyncio.sleep(fault.duration_ms / 1_000)
+    instance.start()
+    injector.busy.discard(instance.name)
+    injector.note("stop" if fault.is_stopped else "kill", started_ms, instance.name)
+
+
+@inject.register
+async def _(fault: WorkerCrash, injector: Injector) -> None:
+    site = injector.deployment.sites[fault.worker]
+    if site in injector.busy:
+        return
+    injector.busy.add(site)
+    started_ms, worker = injector.deployment.record.now_ms(), site.worker.life.worker
+    await site.crash()
+    await asyncio.sleep(fault.duration_ms / 1_000)
+    await site.restart(fault.has_new_id)
+    injector.busy.discard(site)
+    injector.note("crash", started_ms, worker=worker)
+
+
+@inject.register
+async def _(fault: QueueChange, injector: Injector) -> None:
+    if injector.extra:
+        return
+    injector.configure((EXTRA_QUEUE,))
+    await asyncio.sleep(fault.duration_ms / 1_000)
+    injector.configure(())
