--- a/soak/checks.py
+++ b/soak/checks.py
@@ -1,18 +1,18 @@
 """Checks of the promises, each a function over the recorded events."""
 
+import math
 import zlib
 from collections import Counter, defaultdict
 from collections.abc import Iterator
 from typing import NamedTuple
 
 from soak.events import (
-    CalmEnded,
     ConfigurationWritten,
     Life,
     Millis,
     WorkerBegan,
 )
-from soak.history import History, RunHistory, job_of
+from soak.history import CONTACT_MS, History, RunHistory, job_of
 
 CANCEL_MS = 3_000
 STOP_MS = 200
@@ -99,16 +99,19 @@
     history: History, run: RunHistory, cancelled_ms: Millis
 ) -> Iterator[Breach]:
     started = run.started
-    limit_ms = cancelled_ms + CANCEL_MS
-    if started.at_ms > limit_ms and not started.is_late:
-        if history.is_in_touch(started.sender, started.at_ms):
-            text = f"started after its cancel at {cancelled_ms:.0f}: {run}"
-            yield Breach("UNASKED", started.at_ms, text)
-    elif run.is_at_work(limit_ms + STOP_MS) and history.is_calm(
-        cancelled_ms, limit_ms + STOP_MS
-    ):
+    is_in_touch = history.is_in_touch(started.sender, started.at_ms)
+    if started.at_ms > cancelled_ms + CANCEL_MS and is_in_touch and not started.is_late:
+        text = f"started after its cancel at {cancelled_ms:.0f}: {run}"
+        yield Breach("UNASKED", started.at_ms, text)
+    counted_ms = cancelled_ms
+    if started.is_late:
+        # The order may have been sent before the cancel.
+        counted_ms = max(cancelled_ms, started.at_ms + CONTACT_MS)
+    limit_ms = counted_ms + CANCEL_MS + STOP_MS
+    is_over = limit_ms > history.end_ms or not run.is_at_work(limit_ms)
+    if not is_over and history.is_calm(counted_ms, limit_ms):
         text = f"at work after its cancel at {cancelled_ms:.0f}: {run}"
-        yield Breach("UNASKED", limit_ms + STOP_MS, text)
+        yield Breach("UNASKED", limit_ms, text)
 
 
 def find_overloads(history: History) -> Iterator[Breach]:
@@ -165,10 +168,9 @@
 
 def find_stuck_jobs(history: History) -> Iterator[Breach]:
     """Yield jobs that wait at the end of the calm, though there is capacity."""
-    ends = [event.at_ms for event in history.events if isinstance(event, CalmEnded)]
-    if not ends:
+    at_ms = history.end_ms
+    if at_ms == math.inf:
         return
-    at_ms = ends[-1]
     cancelled = history.cancel_sent()
     states = {call.job: call for call in history.calls if call.method == "GET"}
     for job in history.accepted_ms():
--- a/soak/history.py
+++ b/soak/history.py
@@ -1,10 +1,12 @@
 """Recorded events of a run, arranged for the checks."""
 
+import math
 from collections import defaultdict
 from collections.abc import Sequence
 from typing import Any, NamedTuple
 
 from soak.events import (
+    CalmEnded,
     ClientCall,
     Disturbance,
     EndAcknowledged,
@@ -69,6 +71,9 @@
         self.runs = _run_histories(events)
         self.calls = [event for event in events if isinstance(event, ClientCall)]
         self.sent = {event.job: event for event in events if isinstance(event, JobSent)}
+        ends = [event.at_ms for event in events if isinstance(event, CalmEnded)]
+        # What happens later isn't recorded.
+        self.end_ms: Millis = min(ends, default=math.inf)
         self.disturbances = [e for e in events if isinstance(e, Disturbance)]
         self.by_task: dict[str, list[RunHistory]] = defaultdict(list)
         self.by_job: dict[str, list[RunHistory]] = defaultdict(list)
