--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 TEST_JOBS ?= 4
 SOURCES := hyssopweir tests benchmarks experiments soak
 
-.PHONY: demo test check format binary bench experiment soak clean
+.PHONY: demo test check format binary bench experiment soak soak-virtual clean
 
 $(READY): requirements.lock pyproject.toml
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
@@ -40,7 +40,12 @@
 experiment: $(READY)
 	$(BIN)/python -m experiments
 
+# Real processes with faults from outside; records of the runs go to build/soak.
 soak: $(READY)
+	$(BIN)/python -m soak --seed $(or $(SEED),1) --runs $(or $(RUNS),10) --shape $(or $(SHAPE),small)
+
+# Whole instances on fakes in virtual time.
+soak-virtual: $(READY)
 	$(BIN)/python -m pytest tests/test_random_faults.py --soak-seed=$(or $(SEED),1) --soak-runs=$(or $(RUNS),200)
 
 clean:
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -5,6 +5,7 @@
 
 import click
 
+from soak.cases import CASES
 from soak.faults import WEIGHTS
 from soak.reports import write_report
 from soak.runs import RunPlan, play
@@ -20,6 +21,7 @@
 @click.option("--faults-s", type=float, default=20.0, help="Time with faults.")
 @click.option("--gap-s", type=float, default=0.8, help="Mean time between faults.")
 @click.option("--kinds", default=",".join(WEIGHTS), help="Kinds of faults.")
+@click.option("--cases", is_flag=True, help="Play the runs that failed once instead.")
 @click.option("--records", type=click.Path(path_type=Path), default=Path("build/soak"))
 def main(
     seed: int,
@@ -29,12 +31,16 @@
     faults_s: float,
     gap_s: float,
     kinds: str,
+    cases: bool,
     records: Path,
 ) -> None:
     """Play runs of real processes with faults, and check what comes of them."""
+    first = RunPlan(seed, shape, load, faults_s, gap_s, tuple(kinds.split(",")))
+    plans = [first._replace(seed=number) for number in range(seed, seed + runs)]
+    if cases:
+        plans = [case.plan for case in CASES]
     broken = 0
-    for number in range(seed, seed + runs):
-        plan = RunPlan(number, shape, load, faults_s, gap_s, tuple(kinds.split(",")))
+    for plan in plans:
         began_s = time.monotonic()
         result = play(plan, free_ports)
         path = write_report(result, records)
--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -95,7 +95,7 @@
         await asyncio.sleep(self._deployment.rng.uniform(0, HEARTBEAT_S / 2))
         while True:
             now_ms = self._deployment.record.now_ms()
-            if self.worker.is_up:
+            if self.worker.is_up and not self._deployment.is_store_down:
                 worker_id = self.worker.life.worker
                 entry = self.worker.entry((HOST, self.proxy.port))
                 store.put(WORKERS_TABLE, worker_id, entry)
@@ -124,6 +124,8 @@
         self.work_of = work_of
         self.rng = rng
         self.store = Store()
+        # Workers can't write their entries then, so that some of them expire.
+        self.is_store_down = False
         self._take_ports = take_ports
         self._folder = folder
         # By ends of a connection to a worker: its proxy and the instance behind it.
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -175,6 +175,7 @@
         )
 
 
+UNREACHABLE_KINDS = frozenset({LinkFaultKind.REFUSE, LinkFaultKind.CUT})
 REFUSING_KINDS = frozenset({LinkFaultKind.REFUSE, LinkFaultKind.MISROUTE})
 
 
@@ -242,9 +243,13 @@
     names = [deployment.instances[number].name for number in fault.instances]
     started_ms = deployment.record.now_ms()
     proxies = [deployment.store_proxies[name] for name in names]
+    is_down = len(names) > 1 and fault.kind in UNREACHABLE_KINDS
+    deployment.is_store_down = deployment.is_store_down or is_down
     async with asyncio.TaskGroup() as group:
         for proxy in proxies:
             group.create_task(_disturb(proxy, fault.kind, fault.duration_ms))
+    if is_down:
+        deployment.is_store_down = False
     kind = f"store {fault.kind}"
     if len(names) > 1:
         injector.note(kind, started_ms)
--- a/soak/instances.py
+++ b/soak/instances.py
@@ -1,10 +1,12 @@
 """Instances of the product as processes of their own."""
 
 import asyncio
+import ctypes
 import json
 import os
 import signal
 import subprocess
+import sys
 import time
 import tomllib
 from pathlib import Path
@@ -13,10 +15,14 @@
 
 ROOT = Path(__file__).resolve().parents[1]
 DEPLOY_FILE = ROOT / "deploy" / "system.toml"
-# Where the build of the deploy file puts the libraries; a checkout without a build may
-# use those of another one.
-LIBRARIES_VARIABLE = "SOAK_LIBRARIES"
 STOP_LIMIT_S = 6
+# Option of prctl that sends a signal to a process when its parent ends.
+PARENT_DEATH_SIGNAL = 1
+LIBC = ctypes.CDLL(None)
+
+
+def _end_with_parent() -> None:
+    LIBC.prctl(PARENT_DEATH_SIGNAL, signal.SIGKILL)
 
 
 class Instance:
@@ -59,20 +65,20 @@
     def start(self) -> None:
         """Start the process; its log goes on where the one before it ended."""
         role = tomllib.loads(DEPLOY_FILE.read_text())["roles"]["entry"]
-        libraries = os.environ.get(LIBRARIES_VARIABLE, str(ROOT / "target" / "deps"))
         env = {
             "PATH": os.environ["PATH"],
             "HYSSOPWEIR_NODE_FILE": str(self._settings_path),
-            "PYTHONPATH": libraries,
             **role["env"],
         }
         with self.log_path.open("ab") as log:
             self.process = subprocess.Popen(
-                role["run"].split(),
+                # The interpreter at hand has the libraries, also without a build.
+                [sys.executable, *role["run"].split()[1:]],
                 cwd=ROOT,
                 env=env,
                 stdout=log,
                 stderr=subprocess.STDOUT,
+                preexec_fn=_end_with_parent,
             )
 
     def send(self, number: signal.Signals) -> None:
