--- a/soak/worker.py
+++ b/soak/worker.py
@@ -127,7 +127,7 @@
         # By task, the highest run that was stopped or has ended.
         self._closed: dict[str, int] = {}
         self._token = 0
-        self._lease_until_ms: Millis = 0
+        self.lease_until_ms: Millis = 0
         self._lapsed_ms: Millis = 0
         self._lease_timer: asyncio.TimerHandle | None = None
         self._sequence = 0
@@ -263,9 +263,9 @@
 
     def _extend_leases(self, deadline_ms: Millis) -> None:
         until_ms = min(deadline_ms, self._clock_ms() + HOLD_MAX_MS)
-        if until_ms <= self._lease_until_ms:
+        if until_ms <= self.lease_until_ms:
             return
-        self._lease_until_ms = until_ms
+        self.lease_until_ms = until_ms
         if self._lease_timer is not None:
             self._lease_timer.cancel()
         left_ms = (until_ms - self._clock_ms()) / self._clock_rate
@@ -273,10 +273,10 @@
 
     def _expire_leases(self) -> None:
         """End all runs if the lease has expired, at the time when it did."""
-        if not self._lease_until_ms or self._clock_ms() < self._lease_until_ms:
+        if not self.lease_until_ms or self._clock_ms() < self.lease_until_ms:
             return
-        at_ms = self._began_ms + self._lease_until_ms / self._clock_rate
-        self._lapsed_ms, self._lease_until_ms = at_ms, 0
+        at_ms = self._began_ms + self.lease_until_ms / self._clock_rate
+        self._lapsed_ms, self.lease_until_ms = at_ms, 0
         for run in list(self.runs.values()):
             self._end(run, "lapsed", at_ms)
 
