Soak: jobs that last have one step

The fault was the load's, not the product's: the task had no run at any time. Change: such jobs have one step.

--- a/soak/shapes.py
+++ b/soak/shapes.py
@@ -91,7 +91,8 @@
 
 def job_body(queue: QueueShape, job: str, rng: random.Random) -> dict[str, Any]:
     """Build the body of a job."""
-    steps = _count(queue.steps, MAX_STEPS, rng)
+    # A step after one that lasts would never have its turn.
+    steps = 1 if queue.is_endless else _count(queue.steps, MAX_STEPS, rng)
     phases = []
     for number in range(steps):
         phase: dict[str, Any] = {
