Soak: report by how much the stand-ins were late

Cause: leases are kept by the process of the stand-ins; a run in which it was held up can't be judged without that figure. Change: a timer in that process is measured, and the summary names its longest delay.

--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -10,7 +10,7 @@
 import aiohttp
 from aiohttp import web
 
-from soak.events import EventRecord, RunKey
+from soak.events import EventRecord, Millis, RunKey
 from soak.instances import Instance
 from soak.peers import find_owner
 from soak.proxy import HOST, Address, Proxy
@@ -24,6 +24,7 @@
 READY_S = 30
 BACKLOG = 512
 INSTANCE_PORTS = 3
+LAG_INTERVAL_S = 0.05
 
 
 class WorkerSite:
@@ -126,6 +127,8 @@
         self.store = Store()
         # Workers can't write their entries then, so that some of them expire.
         self.is_store_down = False
+        # The longest delay of a timer in the process of the stand-ins.
+        self.lag_ms: Millis = 0
         self._take_ports = take_ports
         self._folder = folder
         # By ends of a connection to a worker: its proxy and the instance behind it.
@@ -175,6 +178,7 @@
         for site in self.sites:
             await site.open()
             self.spawn(site.beat())
+        self.spawn(self._measure_lag())
         for number in range(self.shape.instances):
             zone = self.shape.zones[number % len(self.shape.zones)]
             name = f"edge-{zone}-{number // len(self.shape.zones) + 1}"
@@ -193,6 +197,12 @@
         self._tasks.append(task)
         return task
 
+    async def _measure_lag(self) -> None:
+        while True:
+            due_ms = self.record.now_ms() + LAG_INTERVAL_S * 1_000
+            await asyncio.sleep(LAG_INTERVAL_S)
+            self.lag_ms = max(self.lag_ms, self.record.now_ms() - due_ms)
+
     async def wait_ready(self) -> None:
         """Wait until all instances are ready; raise ``TimeoutError`` if they aren't."""
         async with asyncio.timeout(READY_S), aiohttp.ClientSession() as session:
--- a/soak/runs.py
+++ b/soak/runs.py
@@ -10,7 +10,7 @@
 from soak.checks import Breach, find_breaches
 from soak.clients import Clients
 from soak.deployment import Deployment
-from soak.events import CalmEnded, Event, EventRecord, RunKey
+from soak.events import CalmEnded, Event, EventRecord, Millis, RunKey
 from soak.faults import WEIGHTS, Fault, Injector, Plan
 from soak.history import History, job_of
 from soak.shapes import (
@@ -54,6 +54,7 @@
     events: list[Event]
     breaches: list[Breach]
     logs: dict[str, str]
+    lag_ms: Millis
 
     def summary(self) -> str:
         """Return the counts of the run in one line."""
@@ -64,7 +65,7 @@
         return (
             f"seed {self.plan.seed} {self.plan.shape}: {len(history.accepted_ms())}"
             f" jobs, {len(history.runs)} runs, {len(self.faults)} faults,"
-            f" breaches {counts or 'none'}"
+            f" stand-ins late by {self.lag_ms:.0f} ms, breaches {counts or 'none'}"
         )
 
 
@@ -107,7 +108,7 @@
     now_ms = record.now_ms()
     breaches += [Breach("FAULT", now_ms, f"{name} ended by itself") for name in ended]
     logs = {i.name: i.log_path.read_text() for i in deployment.instances}
-    return RunResult(plan, faults, record.events, breaches, logs)
+    return RunResult(plan, faults, record.events, breaches, logs, deployment.lag_ms)
 
 
 async def _calm_down(deployment: Deployment, clients: Clients) -> None:
