Soak: workers that don't reach the store; cases of both deployments

Cause: a worker that is cut off and runs on, or whose entry expires while it is in reach, was not among the faults. The shapes of the users' deployments had no case yet. Change: the kind isolate; the cases name their kinds, as a plan depends on the list.

--- a/soak/cases.py
+++ b/soak/cases.py
@@ -12,11 +12,30 @@
     cause: str
 
 
+# All kinds at the time of the first cases; a plan depends on the list.
+FIRST_KINDS = (
+    "refuse",
+    "misroute",
+    "silence",
+    "reset",
+    "delay",
+    "cut",
+    "pause",
+    "kill",
+    "stop",
+    "crash",
+    "store",
+    "store-down",
+    "config",
+)
 REFUSAL = "a refused connection was taken as the end of the worker's process"
 MISROUTE = "a reply 421 of another worker was taken as the end of the process"
+BOTH = f"{REFUSAL}, or {MISROUTE}"
 
 CASES = (
     Case(RunPlan(1, faults_s=15, kinds=("refuse", "silence", "pause")), REFUSAL),
     Case(RunPlan(2, faults_s=15, kinds=("misroute", "silence", "pause")), MISROUTE),
-    Case(RunPlan(3), REFUSAL),
+    Case(RunPlan(3, kinds=FIRST_KINDS), REFUSAL),
+    Case(RunPlan(1, "gastabud-offert", load=0.5, gap_s=0.5, kinds=FIRST_KINDS), BOTH),
+    Case(RunPlan(1, "karribank-lw", load=0.5, gap_s=0.5, kinds=FIRST_KINDS), BOTH),
 )
--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -43,6 +43,8 @@
             ("a", f"r{number % len(shape.zones)}-{number // shape.rack_workers}"),
         )
         self.target: Address = (HOST, 0)
+        # Faults that keep the worker from writing its entry.
+        self.isolations = 0
         self.worker = self._new_worker(self._new_id())
         self.proxy = self._new_proxy()
 
@@ -96,7 +98,8 @@
         await asyncio.sleep(self._deployment.rng.uniform(0, HEARTBEAT_S / 2))
         while True:
             now_ms = self._deployment.record.now_ms()
-            if self.worker.is_up and not self._deployment.is_store_down:
+            is_cut = self.isolations or self._deployment.is_store_down
+            if self.worker.is_up and not is_cut:
                 worker_id = self.worker.life.worker
                 entry = self.worker.entry((HOST, self.proxy.port))
                 store.put(WORKERS_TABLE, worker_id, entry)
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -86,6 +86,15 @@
     has_new_id: bool
 
 
+class Isolation(NamedTuple):
+    """A worker doesn't reach the store, and perhaps no instance either."""
+
+    at_ms: Millis
+    duration_ms: Millis
+    worker: int
+    is_cut: bool
+
+
 class QueueChange(NamedTuple):
     """The operator adds a queue and removes it after a while."""
 
@@ -93,7 +102,15 @@
     duration_ms: Millis
 
 
-Fault = WorkerLinkFault | StoreLinkFault | Pause | Restart | WorkerCrash | QueueChange
+Fault = (
+    WorkerLinkFault
+    | StoreLinkFault
+    | Pause
+    | Restart
+    | WorkerCrash
+    | Isolation
+    | QueueChange
+)
 
 # Names on the command line with the weight that each has in a plan.
 WEIGHTS = {
@@ -107,6 +124,7 @@
     "kill": 1.5,
     "stop": 1,
     "crash": 1.5,
+    "isolate": 1.5,
     "store": 2,
     "store-down": 0.5,
     "config": 1,
@@ -152,6 +170,9 @@
             case "crash":
                 away_ms = rng.uniform(300, 5_000)
                 return WorkerCrash(at_ms, away_ms, self._worker, rng.random() < 0.4)
+            case "isolate":
+                duration_ms, is_cut = rng.uniform(1_000, 9_000), rng.random() < 0.6
+                return Isolation(at_ms, duration_ms, self._worker, is_cut)
             case "config":
                 return QueueChange(at_ms, rng.uniform(3_000, 6_000))
             case "store" | "store-down":
@@ -326,6 +347,17 @@
     injector.note("crash", started_ms, worker=worker)
 
 
+@inject.register
+async def _(fault: Isolation, injector: Injector) -> None:
+    site = injector.deployment.sites[fault.worker]
+    started_ms, worker = injector.deployment.record.now_ms(), site.worker.life.worker
+    site.isolations += 1
+    with site.proxy.degraded(LinkState(0, fault.is_cut, fault.is_cut)):
+        await asyncio.sleep(fault.duration_ms / 1_000)
+    site.isolations -= 1
+    injector.note("isolate", started_ms, worker=worker)
+
+
 @inject.register
 async def _(fault: QueueChange, injector: Injector) -> None:
     if injector.extra:
