--- a/soak/cases.py
+++ b/soak/cases.py
@@ -31,6 +31,10 @@
 REFUSAL = "a refused connection was taken as the end of the worker's process"
 MISROUTE = "a reply 421 of another worker was taken as the end of the process"
 BOTH = f"{REFUSAL}, or {MISROUTE}"
+ADOPTED_END = (
+    "a successor measured the duration of an adopted run from its own adoption (24 ms),"
+    " so that all other runs of the step were moved as lagging, again and again"
+)
 
 CASES = (
     Case(RunPlan(1, faults_s=15, kinds=("refuse", "silence", "pause")), REFUSAL),
@@ -38,4 +42,5 @@
     Case(RunPlan(3, kinds=FIRST_KINDS), REFUSAL),
     Case(RunPlan(1, "gastabud-offert", load=0.5, gap_s=0.5, kinds=FIRST_KINDS), BOTH),
     Case(RunPlan(1, "karribank-lw", load=0.5, gap_s=0.5, kinds=FIRST_KINDS), BOTH),
+    Case(RunPlan(102, kinds=FIRST_KINDS), ADOPTED_END),
 )
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -24,6 +24,9 @@
 IDLE_MS = 3_000
 # A lasting task is started again within this time.
 REPLACE_MS = 6_000
+# The longest lease, and the longest chain of work of the shapes (4 steps of 3.3 s) with
+# as much for retries; jobs of a calm deployment are over by then.
+FINISH_MS = 36_000
 REJECTED_STATUSES = frozenset({404, 429, 503})
 NOT_FOUND = 404
 GONE = 410
@@ -187,7 +190,13 @@
     phases = history.sent[job].body["phases"]
     runs = history.by_job[job]
     if not any(phase.get("longRunning") for phase in phases):
-        if not any(_has_run(run, at_ms - IDLE_MS, at_ms) for run in runs):
+        if history.calm_ms >= FINISH_MS:
+            text = (
+                f"job {job} isn't over after {history.calm_ms:.0f} ms without faults,"
+                f" with {len(runs)} runs, last {runs[-1] if runs else None}"
+            )
+            yield Breach("LOST", at_ms, text)
+        elif not any(_has_run(run, at_ms - IDLE_MS, at_ms) for run in runs):
             last = max(runs, key=lambda run: run.started.at_ms, default=None)
             text = f"nothing of job {job} runs for {IDLE_MS} ms, last {last}"
             yield Breach("LOST", at_ms, text)
--- a/soak/event_builders.py
+++ b/soak/event_builders.py
@@ -100,9 +100,9 @@
         self.events.append(ConfigurationWritten(at_ms, version, queues))
         return self
 
-    def end_calm(self, at_ms: Millis) -> "EventBuilder":
+    def end_calm(self, at_ms: Millis, began_ms: Millis = 0) -> "EventBuilder":
         """Add the end of the time without faults."""
-        self.events.append(CalmEnded(at_ms))
+        self.events.append(CalmEnded(began_ms, at_ms))
         return self
 
 
--- a/soak/events.py
+++ b/soak/events.py
@@ -110,8 +110,9 @@
 
 
 class CalmEnded(NamedTuple):
-    """The time without faults after a run's last one is over."""
+    """The time without faults and new jobs, at the end of a run, is over."""
 
+    began_ms: Millis
     at_ms: Millis
 
 
--- a/soak/history.py
+++ b/soak/history.py
@@ -71,9 +71,10 @@
         self.runs = _run_histories(events)
         self.calls = [event for event in events if isinstance(event, ClientCall)]
         self.sent = {event.job: event for event in events if isinstance(event, JobSent)}
-        ends = [event.at_ms for event in events if isinstance(event, CalmEnded)]
+        calms = [event for event in events if isinstance(event, CalmEnded)]
         # What happens later isn't recorded.
-        self.end_ms: Millis = min(ends, default=math.inf)
+        self.end_ms: Millis = calms[-1].at_ms if calms else math.inf
+        self.calm_ms: Millis = calms[-1].at_ms - calms[-1].began_ms if calms else 0
         self.disturbances = [e for e in events if isinstance(e, Disturbance)]
         self.by_task: dict[str, list[RunHistory]] = defaultdict(list)
         self.by_job: dict[str, list[RunHistory]] = defaultdict(list)
--- a/soak/runs.py
+++ b/soak/runs.py
@@ -14,9 +14,10 @@
 from soak.faults import WEIGHTS, Fault, Injector, Plan
 from soak.history import History, job_of
 from soak.shapes import (
-    DURATION_SPREAD,
+    ESTIMATE_SPREAD,
     FAILED_SHARE,
     SHAPES,
+    TASK_SPREAD,
     DeploymentShape,
 )
 from soak.worker import Work
@@ -120,7 +121,7 @@
             break
         await asyncio.sleep(0.2)
     await clients.ask_all()
-    record.add(CalmEnded(record.now_ms()))
+    record.add(CalmEnded(began_ms, record.now_ms()))
 
 
 def _work_source(
@@ -134,10 +135,12 @@
         phases = body["phases"] if body else []
         phase = phases[step] if step < len(phases) else {}
         rng = random.Random(f"{plan.seed}/{key.task}")
-        spread = rng.uniform(1 - DURATION_SPREAD, 1 + DURATION_SPREAD)
+        step_rng = random.Random(f"{plan.seed}/{job_of(key.task)}/{step}")
+        factor = 1 + step_rng.uniform(-ESTIMATE_SPREAD, ESTIMATE_SPREAD)
+        factor *= 1 + rng.uniform(-TASK_SPREAD, TASK_SPREAD)
         is_failed = random.Random(f"{plan.seed}/{key}").random() < FAILED_SHARE
         return Work(
-            phase.get("estimatedMs", 1_000) * spread,
+            phase.get("estimatedMs", 1_000) * factor,
             "failed" if is_failed else "done",
             bool(phase.get("longRunning")),
             shape.checkpoint_ms if phase.get("checkpointing") else 0,
--- a/soak/shapes.py
+++ b/soak/shapes.py
@@ -6,8 +6,10 @@
 HOST_NAME = "crews.example"
 # Queue that configurations add and remove while the run goes on.
 EXTRA_QUEUE = "extra"
-# Estimates of durations are off by up to this factor either way.
-DURATION_SPREAD = 0.5
+# Share by which the estimate of a step is off, and by which the tasks of a step differ;
+# the latter is that of the users' sites.
+ESTIMATE_SPREAD = 0.5
+TASK_SPREAD = 0.3
 MAX_STEPS = 4
 MAX_WIDTH = 32
 FAILED_SHARE = 0.02
--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -228,6 +228,19 @@
     assert rules(find_stuck_jobs, builder.end_calm(5_100)) == []
 
 
+def test_job_that_runs_on_and_on_in_the_calm_is_found() -> None:
+    """Guards against tasks that are stopped and started again without an end."""
+    builder = accepted_job().run(200, 40_000, "stopped")
+    builder.run(40_010, number=2, worker="w2").call("GET", 40_500, state="active")
+    assert rules(find_stuck_jobs, builder.end_calm(40_600)) == ["LOST"]
+
+
+def test_job_that_runs_on_after_a_short_calm_is_allowed() -> None:
+    builder = accepted_job().run(200, 40_000, "stopped")
+    builder.run(40_010, number=2, worker="w2").call("GET", 40_500, state="active")
+    assert rules(find_stuck_jobs, builder.end_calm(40_600, 30_000)) == []
+
+
 def test_lasting_task_that_is_not_at_work_at_the_end_is_found() -> None:
     """Guards against a check that is content with the other tasks of the job."""
     builder = EventBuilder(tasks=2, is_endless=True).call("POST", 100).run(200)
