Log the evidence on which runs and workers are given up

One text stands for three kinds of evidence, and no line tells whether the lease of the worker had ended when its runs were taken for over. Change: TASK_LAPSED and WORKER_LAPSED have the age of the worker's last reply, the time that its leases still had and its birth; WORKER_RESTARTED has both births and where the later one was read; WORKER_SILENT and WORKER_HEARD frame the silence. A run on a worker that this owner never heard has its line, too.

--- a/hyssopweir/agent_link.py
+++ b/hyssopweir/agent_link.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 from result import Err
 
@@ -159,6 +159,20 @@
             since_ms, duration_ms = reading.local_ms, int(lease_ms / MIN_CLOCK_RATE)
         return since_ms + duration_ms + 1 - self._clock.now_ms()
 
+    def contact_fields(self) -> dict[str, Any]:
+        """Return the event fields that tell how sure it is that the worker is lost.
+
+        ``heard_ms`` is the age of its last reply, -1 without one; ``lease_left_ms`` is
+        the time until its leases have certainly expired.
+        """
+        reading = self._clock_reading
+        heard_ms = -1 if reading is None else self._clock.now_ms() - reading.local_ms
+        return {
+            "born_ms": self.born_ms,
+            "heard_ms": heard_ms,
+            "lease_left_ms": self._lapses_in_ms(),
+        }
+
     async def run(self) -> None:
         """Renew the lease until cancelled."""
         wait_ms, pause_ms = 0, RETRY_MS
@@ -211,13 +225,19 @@
             self._lease_until_ms = 0
         if self._clock_reading is None:
             self._lease_until_ms = lease_reply.clock_ms + self._times.previous_ms
+        silent_since = self._clock_reading
         self._clock_reading = ClockReading(lease_reply.clock_ms, now_ms)
         self._has_lapsed = False
         self._gone_replies = 0
         if self._is_silent:
             self._is_silent = False
             self._silent_results.clear()
-            self._log.emit(Event.WORKER_HEARD, worker=self.entry.worker_id)
+            self._log.emit(
+                Event.WORKER_HEARD,
+                worker=self.entry.worker_id,
+                born_ms=self.born_ms,
+                silent_ms=now_ms - silent_since.local_ms if silent_since else -1,
+            )
         ends_stored = self._on_lease_reply(self, lease_reply, sent_ms)
         if ends_stored is None:
             return True
@@ -241,6 +261,7 @@
                 worker=self.entry.worker_id,
                 verdict=result.value,
                 runs=len(self.load.runs),
+                **self.contact_fields(),
             )
         self._gone_replies = self._gone_replies + 1 if result in GONE_RESULTS else 0
         if self._gone_replies == GONE_REPLIES:
--- a/hyssopweir/cell.py
+++ b/hyssopweir/cell.py
@@ -436,7 +436,7 @@
                 self.state.wake.set()
                 # An entry may be older than the last reply.
                 if entry.born_ms > link.born_ms > 0:
-                    self._reports.detect_restart(link, entry.born_ms)
+                    self._reports.detect_restart(link, entry.born_ms, "list")
         self._lapse_replaced(entries)
         now_ms = self._clock.now_ms()
         for worker_id, link in list(self.state.links.items()):
--- a/hyssopweir/run_reports.py
+++ b/hyssopweir/run_reports.py
@@ -31,7 +31,7 @@
         reported.update(end.ref for end in lease_reply.ended)
         # A run that a partial reply leaves out may be among the later ends.
         if not lease_reply.is_partial:
-            self.detect_restart(link, lease_reply.born_ms, reported)
+            self.detect_restart(link, lease_reply.born_ms, "reply", reported)
         for report in lease_reply.running:
             with self._state.guard_task(report.ref.task):
                 self._process_running(link, report, lease_reply.born_ms)
@@ -69,7 +69,11 @@
         self._state.wake.set()
 
     def detect_restart(
-        self, link: AgentLink, born_ms: Millis, reported: Set[RunRef] = frozenset()
+        self,
+        link: AgentLink,
+        born_ms: Millis,
+        source: str,
+        reported: Set[RunRef] = frozenset(),
     ) -> None:
         """End the runs that were lost when the worker restarted.
 
@@ -81,7 +85,13 @@
         self._born_ms_by_worker[worker_id] = born_ms
         if previous_born_ms is None or previous_born_ms == born_ms:
             return
-        self._state.log.emit(Event.WORKER_RESTARTED, worker=worker_id)
+        self._state.log.emit(
+            Event.WORKER_RESTARTED,
+            worker=worker_id,
+            born_ms=born_ms,
+            previous_born_ms=previous_born_ms,
+            source=source,
+        )
         self._end_lost_runs(link, reported)
 
     def end_lost_runs(self, link: AgentLink) -> None:
@@ -91,6 +101,7 @@
             worker=link.entry.worker_id,
             runs=len(link.load.runs),
             reason="its process has ended",
+            **link.contact_fields(),
         )
         if link.load.is_confirmed:
             self._end_lost_runs(link, frozenset())
@@ -203,17 +214,21 @@
         progress = self._state.job_of(ref.task)
         if progress is None:
             return
-        if (
-            progress.end_run(ref, RunOutcome.LAPSED, "", self._state.now_ms())
-            is not None
-        ):
-            self._state.log.emit(
-                Event.TASK_LAPSED,
-                **ref.fields(),
-                worker=link.entry.worker_id,
-                reason=reason,
-            )
-            self._state.mark_changed(progress)
+        task = progress.task(ref.task)
+        run = task.runs.get(ref.run) if task is not None else None
+        if run is None:
+            return
+        phase = run.phase
+        progress.end_run(ref, RunOutcome.LAPSED, "", self._state.now_ms())
+        self._state.log.emit(
+            Event.TASK_LAPSED,
+            **ref.fields(),
+            worker=link.entry.worker_id,
+            reason=reason,
+            phase=phase.name,
+            **link.contact_fields(),
+        )
+        self._state.mark_changed(progress)
 
     def lapse_all(self, link: AgentLink, reason: str) -> None:
         """Record that all runs of a worker are over."""
@@ -224,6 +239,7 @@
             worker=link.entry.worker_id,
             runs=len(runs),
             reason=reason,
+            **link.contact_fields(),
         )
         for ref in dict.fromkeys([*runs, *recorded]):
             self.lapse(link, ref, reason)
@@ -234,5 +250,11 @@
             progress = self._state.job_of(run.ref.task)
             assert progress is not None
             progress.end_run(run.ref, RunOutcome.LAPSED, "", self._state.now_ms())
+            self._state.log.emit(
+                Event.TASK_LAPSED,
+                **run.ref.fields(),
+                worker=worker_id,
+                reason="not listed, and never heard by this owner",
+            )
             self._state.mark_changed(progress)
         self._state.log.emit(Event.WORKER_LAPSED, worker=worker_id, reason="not listed")
