Don't take refused connections for the end of a worker's process

PROTOCOL.md doesn't say that either shows the end of a process, and a proxy, a firewall or a full backlog causes both. Change: they stop new work at once, from the first one on, and end no run.

--- a/hyssopweir/agent_link.py
+++ b/hyssopweir/agent_link.py
@@ -41,11 +41,9 @@
 MAX_RETRY_MS: Millis = 200
 # Pause before ended runs that are not stored yet are asked for again.
 UNSTORED_PAUSE_MS: Millis = 500
-# Results that come from the worker's machine and show that its process has ended, and
-# with it all that it ran. A cut or a lost reply never causes them.
-GONE_RESULTS = frozenset({CommandResult.NO_LISTENER, CommandResult.OTHER_LIFE})
-# So many in a row end the runs of the worker.
-GONE_REPLIES = 2
+# Another process or none answers at the worker's address. A crash causes them, but so
+# do a proxy, a firewall and a full backlog: they stop new work, and end no run.
+ABSENCE_RESULTS = frozenset({CommandResult.NO_LISTENER, CommandResult.OTHER_LIFE})
 # Timeout of a renewal shortly before the lease expires.
 MIN_TIMEOUT_MS: Millis = 100
 
@@ -108,7 +106,6 @@
         proof: OwnershipProof,
         times: LeaseTimes,
         on_lapsed: Callable[["AgentLink"], None],
-        on_gone: Callable[["AgentLink"], None],
     ) -> None:
         self.load = WorkerLoad(entry)
         self._token = token
@@ -120,9 +117,6 @@
         self._proof = proof
         self._times = times
         self._on_lapsed = on_lapsed
-        self._on_gone = on_gone
-        # Consecutive replies that the process of the worker no longer exists.
-        self._gone_replies = 0
         self._clock_reading: ClockReading | None = None
         self._lease_until_ms: Millis = 0
         self._acknowledged = 0
@@ -228,7 +222,6 @@
         silent_since = self._clock_reading
         self._clock_reading = ClockReading(lease_reply.clock_ms, now_ms)
         self._has_lapsed = False
-        self._gone_replies = 0
         if self._is_silent:
             self._is_silent = False
             self._silent_results.clear()
@@ -263,9 +256,8 @@
                 runs=len(self.load.runs),
                 **self.contact_fields(),
             )
-        self._gone_replies = self._gone_replies + 1 if result in GONE_RESULTS else 0
-        if self._gone_replies == GONE_REPLIES:
-            self._on_gone(self)
+        if result in ABSENCE_RESULTS:
+            self.load.discard_report(self._clock.now_ms())
         if self.has_lapsed() and not self._has_lapsed:
             self._has_lapsed = True
             self._on_lapsed(self)
--- a/hyssopweir/cell.py
+++ b/hyssopweir/cell.py
@@ -462,7 +462,6 @@
             self._proof,
             self._times,
             lambda link: self._reports.lapse_all(link, "lease has expired"),
-            self._reports.end_lost_runs,
         )
         self.state.links[entry.worker_id] = link
         loop = asyncio.get_running_loop()
--- a/hyssopweir/run_reports.py
+++ b/hyssopweir/run_reports.py
@@ -94,22 +94,6 @@
         )
         self._end_lost_runs(link, reported)
 
-    def end_lost_runs(self, link: AgentLink) -> None:
-        """End the runs of a worker whose process has certainly ended."""
-        self._state.log.emit(
-            Event.WORKER_LAPSED,
-            worker=link.entry.worker_id,
-            runs=len(link.load.runs),
-            reason="its process has ended",
-            **link.contact_fields(),
-        )
-        if link.load.is_confirmed:
-            self._end_lost_runs(link, frozenset())
-            return
-        # No run of a previous owner was reserved here yet.
-        for run in list(self._state.runs_on(link.entry.worker_id)):
-            self.lapse(link, run.ref, "the worker's process has ended")
-
     def _end_lost_runs(self, link: AgentLink, reported: Set[RunRef]) -> None:
         link.load.discard_report(self._state.now_ms())
         for run, _ in list(link.load.runs.values()):
--- a/hyssopweir/worker_load.py
+++ b/hyssopweir/worker_load.py
@@ -94,7 +94,7 @@
         self.mark_changed()
 
     def discard_report(self, now_ms: Millis) -> None:
-        """Place no tasks until the next report: the last one is of an ended process."""
+        """Place no tasks until the next report: its process may have ended."""
         self.last_report_ms = min(self.last_report_ms, now_ms - REPORT_TIMEOUT_MS - 1)
         self.mark_changed()
 
