--- a/tests/agent_fakes.py
+++ b/tests/agent_fakes.py
@@ -248,6 +248,13 @@
         # Workers whose process has ended, and what their machine replies.
         self.gone_workers: set[str] = set()
         self.gone_result = CommandResult.NO_LISTENER
+        # By worker, the result of new calls that do not reach it although it runs.
+        self.refusals: dict[str, CommandResult] = {}
+
+    def _refusal(self, worker_id: str) -> CommandResult | None:
+        if worker_id in self.gone_workers:
+            return self.gone_result
+        return self.refusals.get(worker_id)
 
     async def _reach(self, worker: WorkerEntry, timeout_ms: Millis) -> bool:
         await self._clock.sleep_ms(LATENCY_MS)
@@ -267,8 +274,9 @@
     ) -> CommandResult:
         if not await self._reach(worker, timeout_ms):
             return CommandResult.UNKNOWN
-        if worker.worker_id in self.gone_workers:
-            return self.gone_result
+        refusal = self._refusal(worker.worker_id)
+        if refusal is not None:
+            return refusal
         fake = self._workers[worker.worker_id]
         if self._is_late(fake):
             delay_s = 2 + 10 * self._random.random()
@@ -282,8 +290,9 @@
     ) -> CommandResult:
         if not await self._reach(worker, timeout_ms):
             return CommandResult.UNKNOWN
-        if worker.worker_id in self.gone_workers:
-            return self.gone_result
+        refusal = self._refusal(worker.worker_id)
+        if refusal is not None:
+            return refusal
         fake = self._workers[worker.worker_id]
         if self._is_late(fake):
             delay_s = 2 + 10 * self._random.random()
@@ -302,8 +311,9 @@
     ) -> CommandResult:
         if not await self._reach(worker, timeout_ms):
             return CommandResult.UNKNOWN
-        if worker.worker_id in self.gone_workers:
-            return self.gone_result
+        refusal = self._refusal(worker.worker_id)
+        if refusal is not None:
+            return refusal
         fake = self._workers[worker.worker_id]
         if percent in fake.late_paces:
             delay_s = fake.late_paces.pop(percent) / 1_000
@@ -324,8 +334,9 @@
     ) -> Result[LeaseReply, CommandResult]:
         if not await self._reach(worker, timeout_ms):
             return Err(CommandResult.UNKNOWN)
-        if worker.worker_id in self.gone_workers:
-            return Err(self.gone_result)
+        refusal = self._refusal(worker.worker_id)
+        if refusal is not None:
+            return Err(refusal)
         fake = self._workers[worker.worker_id]
         limit_ms = self._clock.now_ms() + wait_ms
         life = fake.lives
--- /dev/null
+++ b/tests/test_run_ends.py
@@ -0,0 +1,69 @@
+"""Runs that go on while their owner has a sign that they are over."""
+
+import pytest
+
+from hyssopweir.agents import CommandResult
+from hyssopweir.workflow_progress import WorkflowState
+from tests.cell_simulation import CellSimulation, FakeWorker, build_step, build_workflow
+from tests.virtual_time import run_virtual
+
+JOB = "j1"
+TASKS = 8
+TASK_MS = 6_000
+# Time in which all tasks end, also those that wait for a lease to expire first.
+JOB_LIMIT_MS = 60_000
+REFUSAL_TIMES_MS = [500, 1_000, 2_000, 3_000]
+SEEDS = range(4)
+
+
+async def start_tasks(
+    seed: int, task_ms: int = TASK_MS
+) -> tuple[CellSimulation, FakeWorker]:
+    """Return a simulation with running tasks, and the worker with most of them."""
+    simulation = CellSimulation(workers=4, seed=seed)
+    await simulation.sleep_ms(1_500)
+    step = build_step(TASKS, estimated_ms=task_ms)
+    assert await simulation.submit(build_workflow(JOB, step))
+    # The fault begins at another point of a renewal with each seed.
+    await simulation.sleep_ms(1_000 + 170 * seed)
+    return simulation, max(
+        simulation.workers.values(), key=lambda fake: len(fake.running)
+    )
+
+
+def refuse_calls(
+    simulation: CellSimulation, worker: FakeWorker, result: CommandResult | None
+) -> None:
+    """Answer new calls in place of a worker; ``None`` lets them reach it again."""
+    for instance in simulation.instances:
+        if result is None:
+            instance.agent.refusals.pop(worker.entry.worker_id, None)
+        else:
+            instance.agent.refusals[worker.entry.worker_id] = result
+
+
+async def assert_each_task_runs_once(simulation: CellSimulation) -> None:
+    """Check that the job completes without two runs of one task."""
+    assert await simulation.until(JOB, WorkflowState.COMPLETED, JOB_LIMIT_MS)
+    # Ends that were not listed yet are acknowledged.
+    await simulation.sleep_ms(5_000)
+    assert simulation.work.breaches == []
+    assert len(simulation.work.done) == TASKS
+    assert set(simulation.work.done.values()) == {1}
+
+
+async def play_refusals(result: CommandResult, refused_ms: int, seed: int) -> None:
+    simulation, worker = await start_tasks(seed)
+    refuse_calls(simulation, worker, result)
+    await simulation.sleep_ms(refused_ms)
+    refuse_calls(simulation, worker, None)
+    await assert_each_task_runs_once(simulation)
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+@pytest.mark.parametrize("refused_ms", REFUSAL_TIMES_MS)
+def test_refused_connections_do_not_start_running_tasks_again(
+    refused_ms: int, seed: int
+) -> None:
+    """Guards against two runs of a task on a worker whose listener refuses a while."""
+    run_virtual(play_refusals(CommandResult.NO_LISTENER, refused_ms, seed))
