--- a/tests/test_run_ends.py
+++ b/tests/test_run_ends.py
@@ -67,3 +67,12 @@
 ) -> None:
     """Guards against two runs of a task on a worker whose listener refuses a while."""
     run_virtual(play_refusals(CommandResult.NO_LISTENER, refused_ms, seed))
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+@pytest.mark.parametrize("refused_ms", REFUSAL_TIMES_MS)
+def test_answer_of_another_worker_does_not_start_running_tasks_again(
+    refused_ms: int, seed: int
+) -> None:
+    """Guards against two runs of a task when another worker answers 421 a while."""
+    run_virtual(play_refusals(CommandResult.OTHER_LIFE, refused_ms, seed))
