--- a/tests/test_run_ends.py
+++ b/tests/test_run_ends.py
@@ -76,3 +76,25 @@
 ) -> None:
     """Guards against two runs of a task when another worker answers 421 a while."""
     run_virtual(play_refusals(CommandResult.OTHER_LIFE, refused_ms, seed))
+
+
+@pytest.mark.parametrize("seed", range(2))
+@pytest.mark.parametrize("task_ms", [2_000, TASK_MS])
+@pytest.mark.parametrize("refused_ms", [1_500, 2_000, 2_800])
+@pytest.mark.parametrize(
+    "result", [CommandResult.NO_LISTENER, CommandResult.OTHER_LIFE]
+)
+def test_refusals_to_a_new_owner_do_not_start_running_tasks_again(
+    result: CommandResult, refused_ms: int, task_ms: int, seed: int
+) -> None:
+    """Guards against a second run when a successor does not reach a worker at first."""
+
+    async def main() -> None:
+        simulation, worker = await start_tasks(seed, task_ms)
+        refuse_calls(simulation, worker, result)
+        await simulation.owner().crash()
+        await simulation.sleep_ms(refused_ms)
+        refuse_calls(simulation, worker, None)
+        await assert_each_task_runs_once(simulation)
+
+    run_virtual(main())
