--- a/tests/agent_fakes.py
+++ b/tests/agent_fakes.py
@@ -5,6 +5,8 @@
 """
 
 import asyncio
+from collections.abc import Callable
+from functools import partial
 from random import Random
 from typing import NamedTuple
 
@@ -39,6 +41,16 @@
     step: Step
 
 
+class ProxyAnswer(NamedTuple):
+    """Answer of a proxy to a command that the worker gets after ``delay_ms``, or never.
+
+    Without a result the answer is lost.
+    """
+
+    result: CommandResult | None
+    delay_ms: Millis | None
+
+
 class Workload:
     """Steps and durations of all jobs, ended tasks and violations seen by workers."""
 
@@ -250,6 +262,9 @@
         self.gone_result = CommandResult.NO_LISTENER
         # By worker, the result of new calls that do not reach it although it runs.
         self.refusals: dict[str, CommandResult] = {}
+        # By worker, the answers to the next start and stop commands.
+        self.start_answers: dict[str, list[ProxyAnswer]] = {}
+        self.stop_answers: dict[str, list[ProxyAnswer]] = {}
 
     def _refusal(self, worker_id: str) -> CommandResult | None:
         if worker_id in self.gone_workers:
@@ -266,6 +281,25 @@
             return False
         return True
 
+    async def _answer_for(
+        self,
+        answers: dict[str, list[ProxyAnswer]],
+        worker: WorkerEntry,
+        carry_out: Callable[[], CommandResult],
+        timeout_ms: Millis,
+    ) -> CommandResult | None:
+        """Answer a command in place of its worker, or return None."""
+        if not answers.get(worker.worker_id):
+            return None
+        answer = answers[worker.worker_id].pop(0)
+        if answer.delay_ms is not None:
+            loop = asyncio.get_running_loop()
+            loop.call_later(answer.delay_ms / 1_000, carry_out)
+        if answer.result is None:
+            await self._clock.sleep_ms(timeout_ms)
+            return CommandResult.UNKNOWN
+        return answer.result
+
     def _is_late(self, worker: FakeWorker) -> bool:
         return self._random.random() < worker.late_share
 
@@ -278,6 +312,10 @@
         if refusal is not None:
             return refusal
         fake = self._workers[worker.worker_id]
+        start = partial(fake.start, command)
+        answer = await self._answer_for(self.start_answers, worker, start, timeout_ms)
+        if answer is not None:
+            return answer
         if self._is_late(fake):
             delay_s = 2 + 10 * self._random.random()
             asyncio.get_running_loop().call_later(delay_s, fake.start, command)
@@ -294,6 +332,10 @@
         if refusal is not None:
             return refusal
         fake = self._workers[worker.worker_id]
+        stop = partial(fake.stop, ref, token)
+        answer = await self._answer_for(self.stop_answers, worker, stop, timeout_ms)
+        if answer is not None:
+            return answer
         if self._is_late(fake):
             delay_s = 2 + 10 * self._random.random()
             asyncio.get_running_loop().call_later(delay_s, fake.stop, ref, token)
--- a/tests/test_run_ends.py
+++ b/tests/test_run_ends.py
@@ -1,10 +1,20 @@
 """Runs that go on while their owner has a sign that they are over."""
 
+from collections.abc import Sequence
+
 import pytest
 
+from hyssopweir.agent_link import COMMAND_TIMEOUT_MS
 from hyssopweir.agents import CommandResult
 from hyssopweir.workflow_progress import WorkflowState
-from tests.cell_simulation import CellSimulation, FakeWorker, build_step, build_workflow
+from tests.agent_fakes import ProxyAnswer
+from tests.cell_simulation import (
+    CALL_TIMEOUT_MS,
+    CellSimulation,
+    FakeWorker,
+    build_step,
+    build_workflow,
+)
 from tests.virtual_time import run_virtual
 
 JOB = "j1"
@@ -13,7 +23,10 @@
 # Time in which all tasks end, also those that wait for a lease to expire first.
 JOB_LIMIT_MS = 60_000
 REFUSAL_TIMES_MS = [500, 1_000, 2_000, 3_000]
+# Time in which a worker that replies ends the runs of a cancelled job.
+STOP_LIMIT_MS = 3_000
 SEEDS = range(4)
+OTHER_WORKER_ANSWERS = ProxyAnswer(CommandResult.OTHER_LIFE, None)
 
 
 async def start_tasks(
@@ -98,3 +111,71 @@
         await assert_each_task_runs_once(simulation)
 
     run_virtual(main())
+
+
+def answer_commands(
+    simulation: CellSimulation,
+    starts: Sequence[ProxyAnswer] = (),
+    stops: Sequence[ProxyAnswer] = (),
+) -> None:
+    """Answer the next commands of each instance to each worker in their order."""
+    for instance in simulation.instances:
+        for worker in simulation.workers:
+            instance.agent.start_answers[worker] = list(starts)
+            instance.agent.stop_answers[worker] = list(stops)
+
+
+async def assert_cancelled_job_stops(simulation: CellSimulation) -> None:
+    cancelled = await simulation.instances[1].api.cancel(JOB, CALL_TIMEOUT_MS)
+    assert cancelled.is_ok()
+    await simulation.sleep_ms(STOP_LIMIT_MS)
+    assert not any(worker.running for worker in simulation.workers.values())
+    assert simulation.work.breaches == []
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_answer_of_another_worker_drops_no_stop(seed: int) -> None:
+    """Guards against a run of a cancelled job that goes on after a 421 to its stop."""
+
+    async def main() -> None:
+        simulation, _ = await start_tasks(seed, 10 * TASK_MS)
+        answer_commands(simulation, stops=[OTHER_WORKER_ANSWERS])
+        await assert_cancelled_job_stops(simulation)
+
+    run_virtual(main())
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+@pytest.mark.parametrize("delay_ms", [700, 1_000, 2_000])
+def test_answer_of_another_worker_drops_no_stop_of_a_late_start(
+    delay_ms: int, seed: int
+) -> None:
+    """Guards against a late start in a cancelled job after a 421 to its stops."""
+
+    async def main() -> None:
+        simulation = CellSimulation(seed=seed)
+        await simulation.sleep_ms(1_500)
+        late = ProxyAnswer(None, delay_ms)
+        answer_commands(simulation, [late] * TASKS, [OTHER_WORKER_ANSWERS] * TASKS)
+        step = build_step(TASKS, estimated_ms=10 * TASK_MS)
+        assert await simulation.submit(build_workflow(JOB, step))
+        await simulation.sleep_ms(COMMAND_TIMEOUT_MS + 50)
+        await assert_cancelled_job_stops(simulation)
+
+    run_virtual(main())
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_answer_of_another_worker_leaves_no_start_uncertain(seed: int) -> None:
+    """Guards against a task that never runs after a lost start and a 421."""
+
+    async def main() -> None:
+        simulation = CellSimulation(seed=seed)
+        await simulation.sleep_ms(1_500)
+        lost = ProxyAnswer(None, None)
+        answer_commands(simulation, [lost] * TASKS, [OTHER_WORKER_ANSWERS] * TASKS)
+        step = build_step(TASKS, estimated_ms=TASK_MS)
+        assert await simulation.submit(build_workflow(JOB, step))
+        await assert_each_task_runs_once(simulation)
+
+    run_virtual(main())
