--- a/tests/test_run_ends.py
+++ b/tests/test_run_ends.py
@@ -1,21 +1,28 @@
 """Runs that go on while their owner has a sign that they are over."""
 
 from collections.abc import Sequence
+from typing import Any
 
 import pytest
+from result import Ok
 
 from hyssopweir.agent_link import COMMAND_TIMEOUT_MS
 from hyssopweir.agents import CommandResult
+from hyssopweir.events import EventLog
+from hyssopweir.platform.http_agent import HttpAgent
+from hyssopweir.platform.json_http_client import JsonHttpClient, Response
+from hyssopweir.task_state import RunRef, TaskRef
 from hyssopweir.workflow_progress import WorkflowState
 from tests.agent_fakes import ProxyAnswer
 from tests.cell_simulation import (
     CALL_TIMEOUT_MS,
     CellSimulation,
     FakeWorker,
+    build_entry,
     build_step,
     build_workflow,
 )
-from tests.virtual_time import run_virtual
+from tests.virtual_time import VirtualClock, run_virtual
 
 JOB = "j1"
 TASKS = 8
@@ -25,6 +32,10 @@
 REFUSAL_TIMES_MS = [500, 1_000, 2_000, 3_000]
 # Time in which a worker that replies ends the runs of a cancelled job.
 STOP_LIMIT_MS = 3_000
+# Less than the lease that the start carries.
+LATE_START_MS = 2_500
+# Statuses of a proxy that may have passed the command on.
+PROXY_STATUSES = [500, 502, 504]
 SEEDS = range(4)
 OTHER_WORKER_ANSWERS = ProxyAnswer(CommandResult.OTHER_LIFE, None)
 
@@ -179,3 +190,74 @@
         await assert_each_task_runs_once(simulation)
 
     run_virtual(main())
+
+
+class ProxyClient(JsonHttpClient):
+    """Client whose requests are all answered by a proxy with one status."""
+
+    def __init__(self, status: int) -> None:
+        super().__init__()
+        self.status = status
+
+    async def request(self, *_: Any, **__: Any) -> Any:
+        return Ok(Response(self.status, None))
+
+
+async def result_of_status(status: int) -> CommandResult:
+    """Return what the agent makes of a status that the protocol does not have."""
+    agent = HttpAgent(ProxyClient(status), EventLog("a", "dc", VirtualClock()))
+    ref = RunRef(TaskRef(JOB, 0, 0, 0), 1)
+    return await agent.stop(build_entry(), ref, 1, CALL_TIMEOUT_MS)
+
+
+@pytest.mark.parametrize("seed", range(2))
+@pytest.mark.parametrize("delay_ms", [0, 1_000])
+@pytest.mark.parametrize("status", PROXY_STATUSES)
+def test_answer_of_a_proxy_to_a_start_starts_no_second_run(
+    status: int, delay_ms: int, seed: int
+) -> None:
+    """Guards against a second run of a task after a start that a proxy passed on."""
+
+    async def main() -> None:
+        simulation = CellSimulation(seed=seed)
+        await simulation.sleep_ms(1_500)
+        answer = ProxyAnswer(await result_of_status(status), delay_ms)
+        for instance in simulation.instances:
+            instance.agent.start_answers["w0"] = [answer] * TASKS
+        step = build_step(TASKS, estimated_ms=TASK_MS)
+        assert await simulation.submit(build_workflow(JOB, step))
+        await assert_each_task_runs_once(simulation)
+
+    run_virtual(main())
+
+
+@pytest.mark.parametrize("seed", range(2))
+@pytest.mark.parametrize("status", PROXY_STATUSES)
+def test_answer_of_a_proxy_to_a_stop_confirms_nothing(status: int, seed: int) -> None:
+    """Guards against a second run beside a start that no worker was told to refuse."""
+
+    async def main() -> None:
+        simulation = CellSimulation(seed=seed)
+        await simulation.sleep_ms(1_500)
+        stop = ProxyAnswer(await result_of_status(status), None)
+        late_start = ProxyAnswer(None, LATE_START_MS)
+        answer_commands(simulation, [late_start], [stop])
+        step = build_step(TASKS, estimated_ms=TASK_MS)
+        assert await simulation.submit(build_workflow(JOB, step))
+        await assert_each_task_runs_once(simulation)
+
+    run_virtual(main())
+
+
+@pytest.mark.parametrize("seed", range(2))
+@pytest.mark.parametrize("status", PROXY_STATUSES)
+def test_answer_of_a_proxy_drops_no_stop(status: int, seed: int) -> None:
+    """Guards against a run of a cancelled job that goes on after a 502 to its stop."""
+
+    async def main() -> None:
+        simulation, _ = await start_tasks(seed, 10 * TASK_MS)
+        stop = ProxyAnswer(await result_of_status(status), None)
+        answer_commands(simulation, stops=[stop])
+        await assert_cancelled_job_stops(simulation)
+
+    run_virtual(main())
