Repeat the stop of a run until its worker confirms it

Callers see a run of a cancelled job that goes on (UNASKED), or a task that never runs again. Cause: a stop that met the 421 of another process was not sent again, although the run was kept; a 400 or an unknown reason counted as confirmation that the run is closed off, which PROTOCOL.md says of a 200 alone. Same class as the double runs: an answer that isn't the worker's own word. Change: a stop is repeated until a 200, a fence or the end of the run.

--- a/hyssopweir/run_commands.py
+++ b/hyssopweir/run_commands.py
@@ -134,11 +134,11 @@
     async def _stop(self, run: Run, link: AgentLink) -> None:
         while run.ref in link.load.runs:
             result = await link.stop(run.ref)
-            if result in (CommandResult.ACCEPTED, CommandResult.INVALID):
+            if result is CommandResult.ACCEPTED:
                 run.is_closed = True
                 run.settled_ms = self._state.now_ms()
                 return
-            if result in (CommandResult.FENCED, CommandResult.OTHER_LIFE):
+            if result is CommandResult.FENCED:
                 return
             await self._state.clock.sleep_ms(STOP_RETRY_MS)
 
