Read a status that workers don't have as an unknown outcome

Callers see a task that runs twice. Cause: statuses that PROTOCOL.md doesn't list (500, 502, 504 of a proxy that has passed the command on) counted as an invalid command, that is as a start which never runs, and as a confirmed stop. Change: only 400, 409, 421, 429 and 503 say that nothing was done; any other status leaves the outcome open, so that the run is closed off at its worker.

--- a/hyssopweir/platform/http_agent.py
+++ b/hyssopweir/platform/http_agent.py
@@ -74,8 +74,15 @@
 BAD_REQUEST = 400
 CONFLICT = 409
 MISDIRECTED = 421
-# Statuses of an unhealthy worker, which has not carried out the request.
-UNHEALTHY_STATUSES = frozenset({429, 503})
+
+# Statuses of a worker that has not carried out the request.
+RESULT_BY_STATUS = {
+    BAD_REQUEST: CommandResult.INVALID,
+    CONFLICT: CommandResult.INVALID,
+    MISDIRECTED: CommandResult.OTHER_LIFE,
+    429: CommandResult.UNHEALTHY,
+    503: CommandResult.UNHEALTHY,
+}
 
 RESULT_BY_REASON = {
     "fence": CommandResult.FENCED,
@@ -218,11 +225,8 @@
         reason = response.data.get("reason")
         if isinstance(reason, str):
             return RESULT_BY_REASON.get(reason, CommandResult.INVALID)
-    if response.status in UNHEALTHY_STATUSES:
-        return CommandResult.UNHEALTHY
-    if response.status == MISDIRECTED:
-        return CommandResult.OTHER_LIFE
-    return CommandResult.INVALID
+    # Anything else may be the answer of a proxy, which has passed the request on.
+    return RESULT_BY_STATUS.get(response.status, CommandResult.UNKNOWN)
 
 
 def task_name(ref: TaskRef) -> str:
