--- a/tests/test_run_ends.py
+++ b/tests/test_run_ends.py
@@ -261,3 +261,40 @@
         await assert_cancelled_job_stops(simulation)
 
     run_virtual(main())
+
+
+async def cut_owner_from_store(
+    seed: int, cut_ms: int, is_listed: bool
+) -> CellSimulation:
+    """Cut an owner that is at work from the store, and its successor from one worker.
+
+    Other workers would tell the owner at once that it was replaced.
+    """
+    simulation, worker = await start_tasks(seed, 3 * TASK_MS)
+    owner = simulation.owner()
+    for instance in simulation.instances:
+        instance.agent.cut_workers = {worker.entry.worker_id}
+    owner.agent.cut_workers = set(simulation.workers) - {worker.entry.worker_id}
+    worker.is_listed = is_listed
+    owner.faults.is_silent = True
+    await simulation.sleep_ms(cut_ms)
+    owner.faults.is_silent = False
+    for instance in simulation.instances:
+        instance.agent.cut_workers = set()
+    worker.is_listed = True
+    return simulation
+
+
+@pytest.mark.parametrize("seed", range(2))
+@pytest.mark.parametrize("cut_ms", [6_000, 10_000, 14_000, 20_000])
+@pytest.mark.parametrize("is_listed", [False, True])
+def test_owner_without_a_store_renews_no_lease_beside_its_successor(
+    is_listed: bool, cut_ms: int, seed: int
+) -> None:
+    """Guards against leases that outlast the wait of a successor out of reach."""
+
+    async def main() -> None:
+        simulation = await cut_owner_from_store(seed, cut_ms, is_listed)
+        await assert_each_task_runs_once(simulation)
+
+    run_virtual(main())
