End only runs that an earlier process of a restarted worker listed

Callers see a task that runs twice. Cause: a later birth in the list, or in a reply, ended every run of the worker that its owner counted as started, also one that the new process had accepted before its restart was noticed. Change: a run remembers the incarnation whose list showed it; a restart ends those of an earlier one. A run that no list showed is judged by the next whole list, or ends with the lease.

--- a/hyssopweir/run_reports.py
+++ b/hyssopweir/run_reports.py
@@ -92,20 +92,25 @@
             previous_born_ms=previous_born_ms,
             source=source,
         )
-        self._end_lost_runs(link, reported)
+        self._end_lost_runs(link, born_ms, reported)
 
-    def _end_lost_runs(self, link: AgentLink, reported: Set[RunRef]) -> None:
+    def _end_lost_runs(
+        self, link: AgentLink, born_ms: Millis, reported: Set[RunRef]
+    ) -> None:
+        """End the runs that a list of an earlier incarnation showed.
+
+        The new one may have accepted any other before its restart was noticed.
+        """
         link.load.discard_report(self._state.now_ms())
         for run, _ in list(link.load.runs.values()):
-            if run.ref in reported or run.phase in (
-                RunPhase.RECORDED,
-                RunPhase.ORDERED,
-            ):
+            if run.ref in reported or run.listed_born_ms in (0, born_ms):
+                continue
+            if run.phase in (RunPhase.RECORDED, RunPhase.ORDERED):
                 continue
             if run.phase is RunPhase.UNCERTAIN and not run.is_closed:
                 # A restarted worker may still receive the start command.
                 continue
-            self.lapse(link, run.ref, "the worker's process has ended")
+            self.lapse(link, run.ref, "its worker has restarted")
 
     def _process_running(
         self, link: AgentLink, report: RunStatus, born_ms: Millis
@@ -119,7 +124,8 @@
         if report.percent != run.percent:
             run.moved_ms = now_ms
         run.reported_ms = now_ms
-        run.percent, run.figure, run.born_ms = report.percent, report.figure, born_ms
+        run.percent, run.figure = report.percent, report.figure
+        run.born_ms = run.listed_born_ms = born_ms
         found = self._state.find(report.ref.task)
         if found is None:
             return
--- a/hyssopweir/task_state.py
+++ b/hyssopweir/task_state.py
@@ -93,6 +93,7 @@
         "reported_ms",
         "changed_ms",
         "settled_ms",
+        "listed_born_ms",
         "is_closed",
     )
 
@@ -117,6 +118,8 @@
         self.moved_ms = now_ms
         self.reported_ms = now_ms
         self.settled_ms = now_ms
+        # Incarnation of the worker whose list showed the run, 0 before.
+        self.listed_born_ms: Millis = 0
         # No earlier start command for this run can take effect any more.
         self.is_closed = False
 
--- a/tests/test_run_ends.py
+++ b/tests/test_run_ends.py
@@ -4,10 +4,10 @@
 from typing import Any
 
 import pytest
-from result import Ok
+from result import Err, Ok, Result
 
 from hyssopweir.agent_link import COMMAND_TIMEOUT_MS
-from hyssopweir.agents import CommandResult
+from hyssopweir.agents import CommandResult, LeaseReply
 from hyssopweir.events import EventLog
 from hyssopweir.platform.http_agent import HttpAgent
 from hyssopweir.platform.json_http_client import JsonHttpClient, Response
@@ -298,3 +298,30 @@
         await assert_each_task_runs_once(simulation)
 
     run_virtual(main())
+
+
+async def lose_renewal(*_: Any) -> Result[LeaseReply, CommandResult]:
+    return Err(CommandResult.UNKNOWN)
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_restart_in_the_list_ends_no_run_of_the_new_process(seed: int) -> None:
+    """Guards against a second run of a task that a restarted worker has accepted."""
+
+    async def main() -> None:
+        simulation = CellSimulation(workers=4, instances=1, seed=seed)
+        await simulation.sleep_ms(1_500 + 170 * seed)
+        agent, worker = simulation.instances[0].agent, simulation.workers["w0"]
+        renew_leases = agent.renew_leases
+        agent.renew_leases = lose_renewal  # type: ignore[method-assign]
+        worker.restart()
+        step = build_step(TASKS, estimated_ms=TASK_MS)
+        assert await simulation.submit(build_workflow(JOB, step))
+        await simulation.sleep_ms(200)
+        assert worker.running
+        worker.entry = worker.entry._replace(born_ms=worker.born_ms)
+        await simulation.sleep_ms(400)
+        agent.renew_leases = renew_leases  # type: ignore[method-assign]
+        await assert_each_task_runs_once(simulation)
+
+    run_virtual(main())
