Don't take another entry at a worker's address for its end

Callers see a task that runs twice. Cause: all runs of a worker that wasn't listed ended when another entry had its address, even if it had just replied. Entries lapse while their workers run, addresses are forwarded and reused, and PROTOCOL.md says nothing of the kind. Change: the rule is gone. The runs end by the worker's list or with their lease.

--- a/hyssopweir/cell.py
+++ b/hyssopweir/cell.py
@@ -437,7 +437,6 @@
                 # An entry may be older than the last reply.
                 if entry.born_ms > link.born_ms > 0:
                     self._reports.detect_restart(link, entry.born_ms, "list")
-        self._lapse_replaced(entries)
         now_ms = self._clock.now_ms()
         for worker_id, link in list(self.state.links.items()):
             link.load.is_listed = worker_id in entries
@@ -489,18 +488,6 @@
         self.state.interference_model.forget_worker(worker_id)
         self._unlisted_since_ms.pop(worker_id, None)
 
-    def _lapse_replaced(self, entries: Mapping[str, WorkerEntry]) -> None:
-        """End runs on workers whose address now belongs to another worker."""
-        by_address = {(entry.host, entry.port): entry for entry in entries.values()}
-        for worker_id, link in self.state.links.items():
-            if not link.load.runs:
-                continue
-            successor = by_address.get((link.entry.host, link.entry.port))
-            if successor is not None and worker_id not in entries:
-                self._reports.lapse_all(
-                    link, "another worker is registered at its address"
-                )
-
     def _lapse_unreported(
         self, entries: Mapping[str, WorkerEntry], now_ms: Millis
     ) -> None:
--- a/tests/test_run_ends.py
+++ b/tests/test_run_ends.py
@@ -325,3 +325,20 @@
         await assert_each_task_runs_once(simulation)
 
     run_virtual(main())
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_entry_at_the_address_of_a_worker_does_not_start_its_tasks_again(
+    seed: int,
+) -> None:
+    """Guards against a second run when an expired entry's address has another entry."""
+
+    async def main() -> None:
+        simulation, worker = await start_tasks(seed)
+        worker.is_listed = False
+        simulation.add_worker(worker.entry._replace(worker_id="w9"))
+        await simulation.sleep_ms(2_000)
+        worker.is_listed = True
+        await assert_each_task_runs_once(simulation)
+
+    run_virtual(main())
