--- a/tests/agent_fakes.py
+++ b/tests/agent_fakes.py
@@ -12,6 +12,7 @@
 
 from result import Err, Ok, Result
 
+from hyssopweir.agent_link import LONGEST_LEASE_MS
 from hyssopweir.agents import (
     CommandResult,
     EndedRun,
@@ -91,13 +92,20 @@
         # its reply is lost.
         self.late_paces: dict[int, Millis] = {}
         self.lives = 0
+        # Time at which the worker's own clock shows 0.
+        self.clock_start_ms: Millis = 0
         self.restart()
 
-    def restart(self) -> None:
+    def restart(
+        self, born_ms: Millis | None = None, is_clock_reset: bool = False
+    ) -> None:
+        """Lose all runs, and start a new life under the same id."""
         for ref in getattr(self, "running", {}):
             self._work.live.get(ref.task, set()).discard(self.entry.worker_id)
         self.lives += 1
-        self.born_ms = self.lives
+        self.born_ms = self.lives if born_ms is None else born_ms
+        if is_clock_reset:
+            self.clock_start_ms = self._clock.now_ms()
         self.token = 0
         self.lease_ms = 0
         self.running: dict[RunRef, LiveRun] = {}
@@ -148,11 +156,12 @@
         ref, now_ms = command.ref, self._clock.now_ms()
         if ref in self.running:
             return CommandResult.ACCEPTED
-        if command.lease_until_ms <= now_ms:
+        lease_until_ms = self._local_time(command.lease_until_ms)
+        if lease_until_ms <= now_ms:
             return CommandResult.LATE
         if ref.run <= self.closed.get(ref.task, 0):
             return CommandResult.STALE
-        self.lease_ms = max(self.lease_ms, command.lease_until_ms)
+        self.lease_ms = max(self.lease_ms, lease_until_ms)
         self._check_start(ref)
         step = self._work.steps[ref.task.job][ref.task.step]
         duration_ms = self._work.duration_ms(ref.task)
@@ -162,6 +171,11 @@
         self._check_room()
         return CommandResult.ACCEPTED
 
+    def _local_time(self, lease_until_ms: Millis) -> Millis:
+        """Convert the expiry of a lease from the worker's clock, and shorten it."""
+        longest_ms = self._clock.now_ms() + LONGEST_LEASE_MS
+        return min(lease_until_ms + self.clock_start_ms, longest_ms)
+
     def _check_start(self, ref: RunRef) -> None:
         step = self._work.steps[ref.task.job][ref.task.step]
         if step.may_run_twice:
@@ -211,7 +225,8 @@
         if token < self.token:
             return CommandResult.FENCED
         self.token = token
-        self.lease_ms = max(self.lease_ms, lease_until_ms or 0)
+        if lease_until_ms is not None:
+            self.lease_ms = max(self.lease_ms, self._local_time(lease_until_ms))
         for end in self.ended:
             if end.number <= acknowledged and end.how is RunOutcome.DONE:
                 self._check_acknowledged(end.ref.task, self.end_ms[end.number])
@@ -228,7 +243,8 @@
         ]
         ended = self.ended[:REPLY_ENDS]
         is_partial = len(ended) == REPLY_ENDS
-        return LeaseReply(now_ms, self.born_ms, running, ended, is_partial)
+        clock_ms = now_ms - self.clock_start_ms
+        return LeaseReply(clock_ms, self.born_ms, running, ended, is_partial)
 
     def _check_acknowledged(self, task: TaskRef, end_ms: Millis) -> None:
         """Check an acknowledged end unless a lease has lapsed since."""
--- a/tests/test_run_ends.py
+++ b/tests/test_run_ends.py
@@ -298,3 +298,43 @@
         await assert_each_task_runs_once(simulation)
 
     run_virtual(main())
+
+
+@pytest.mark.parametrize("seed", range(2))
+@pytest.mark.parametrize("unlisted_ms", [1_000, 6_000, 18_000])
+def test_runs_of_an_unlisted_worker_that_is_heard_go_on(
+    unlisted_ms: int, seed: int
+) -> None:
+    """Guards against a second run when the entry of a worker at work vanishes."""
+
+    async def main() -> None:
+        simulation, worker = await start_tasks(seed, 4 * TASK_MS)
+        worker.is_listed = False
+        await simulation.sleep_ms(unlisted_ms)
+        worker.is_listed = True
+        await assert_each_task_runs_once(simulation)
+
+    run_virtual(main())
+
+
+@pytest.mark.parametrize("seed", range(2))
+@pytest.mark.parametrize("with_takeover", [False, True])
+@pytest.mark.parametrize("unlisted_ms", [1_000, 3_000])
+def test_entry_of_another_worker_at_its_address_ends_no_run(
+    unlisted_ms: int, with_takeover: bool, seed: int
+) -> None:
+    """Guards against a second run when the list shows a wrong worker at an address."""
+
+    async def main() -> None:
+        simulation, worker = await start_tasks(seed, 2 * TASK_MS)
+        entry = worker.entry
+        if with_takeover:
+            await simulation.owner().crash()
+            await simulation.sleep_ms(2_000)
+        worker.is_listed = False
+        newcomer = simulation.add_worker(entry._replace(worker_id="w9"))
+        await simulation.sleep_ms(unlisted_ms)
+        worker.is_listed, newcomer.is_listed = True, False
+        await assert_each_task_runs_once(simulation)
+
+    run_virtual(main())
