--- a/tests/test_run_ends.py
+++ b/tests/test_run_ends.py
@@ -338,3 +338,39 @@
         await assert_each_task_runs_once(simulation)
 
     run_virtual(main())
+
+
+async def restart_with_listed_birth(
+    simulation: CellSimulation, worker: FakeWorker, listed_ms: int, born_ms: int
+) -> None:
+    """Restart a worker, and change its listed entry of the former life afterwards."""
+    worker.entry = worker.entry._replace(born_ms=listed_ms)
+    await simulation.sleep_ms(1_000)
+    worker.restart(born_ms)
+    # The owner hears the new life and starts tasks there.
+    await simulation.sleep_ms(3_000)
+    worker.entry = worker.entry._replace(machine="m1")
+    await simulation.sleep_ms(1_000)
+
+
+@pytest.mark.parametrize("seed", range(2))
+@pytest.mark.parametrize(
+    "born_ms", [pytest.param(9_000, id="later"), pytest.param(4_000, id="clock_back")]
+)
+def test_late_entry_of_a_former_life_ends_no_run(born_ms: int, seed: int) -> None:
+    """Guards against a second run when the list is behind a restart of a worker."""
+
+    async def main() -> None:
+        simulation = CellSimulation(workers=2, seed=seed)
+        for fake in simulation.workers.values():
+            fake.born_ms = 5_000
+        await simulation.sleep_ms(1_500)
+        step = build_step(TASKS, estimated_ms=2 * TASK_MS)
+        assert await simulation.submit(build_workflow(JOB, step))
+        await simulation.sleep_ms(1_000)
+        worker = simulation.workers["w0"]
+        simulation.add_worker(build_entry(9))
+        await restart_with_listed_birth(simulation, worker, 5_000, born_ms)
+        await assert_each_task_runs_once(simulation)
+
+    run_virtual(main())
