--- a/tests/test_run_ends.py
+++ b/tests/test_run_ends.py
@@ -374,3 +374,27 @@
         await assert_each_task_runs_once(simulation)
 
     run_virtual(main())
+
+
+@pytest.mark.parametrize("is_clock_reset", [False, True])
+@pytest.mark.parametrize("late_ms", [2_000, 3_500, 6_000, 12_000])
+def test_late_start_on_a_restarted_worker_is_no_second_run(
+    late_ms: int, is_clock_reset: bool
+) -> None:
+    """Guards against a start that a worker's former life was told to refuse."""
+
+    async def main() -> None:
+        simulation = CellSimulation()
+        await simulation.sleep_ms(1_500)
+        late_start = ProxyAnswer(None, late_ms)
+        # The first starts on each worker.
+        answer_commands(simulation, [late_start])
+        step = build_step(TASKS, estimated_ms=3 * TASK_MS)
+        assert await simulation.submit(build_workflow(JOB, step))
+        # The stop is confirmed, and the task starts elsewhere.
+        await simulation.sleep_ms(1_500)
+        for worker in simulation.workers.values():
+            worker.restart(is_clock_reset=is_clock_reset)
+        await assert_each_task_runs_once(simulation)
+
+    run_virtual(main())
