--- a/tests/agent_fakes.py
+++ b/tests/agent_fakes.py
@@ -278,6 +278,7 @@
         self.gone_result = CommandResult.NO_LISTENER
         # By worker, the result of new calls that do not reach it although it runs.
         self.refusals: dict[str, CommandResult] = {}
+        self.refused_starts = 0
         # By worker, the answers to the next start and stop commands.
         self.start_answers: dict[str, list[ProxyAnswer]] = {}
         self.stop_answers: dict[str, list[ProxyAnswer]] = {}
@@ -326,6 +327,7 @@
             return CommandResult.UNKNOWN
         refusal = self._refusal(worker.worker_id)
         if refusal is not None:
+            self.refused_starts += 1
             return refusal
         fake = self._workers[worker.worker_id]
         start = partial(fake.start, command)
--- a/tests/test_run_ends.py
+++ b/tests/test_run_ends.py
@@ -6,9 +6,14 @@
 import pytest
 from result import Ok
 
-from hyssopweir.agent_link import COMMAND_TIMEOUT_MS
+from hyssopweir.agent_link import (
+    COMMAND_TIMEOUT_MS,
+    LONGEST_LEASE_MS,
+    RENEWAL_WAIT_MS,
+    lease_times,
+)
 from hyssopweir.agents import CommandResult
-from hyssopweir.events import EventLog
+from hyssopweir.events import Event, EventLog
 from hyssopweir.platform.http_agent import HttpAgent
 from hyssopweir.platform.json_http_client import JsonHttpClient, Response
 from hyssopweir.task_state import RunRef, TaskRef
@@ -22,6 +27,7 @@
     build_step,
     build_workflow,
 )
+from tests.job_checks import events_of
 from tests.virtual_time import VirtualClock, run_virtual
 
 JOB = "j1"
@@ -30,6 +36,10 @@
 # Time in which all tasks end, also those that wait for a lease to expire first.
 JOB_LIMIT_MS = 60_000
 REFUSAL_TIMES_MS = [500, 1_000, 2_000, 3_000]
+# Two calls, a commit and the start on another worker.
+RESTART_LIMIT_MS = 1_000
+# Time in which another instance takes over the cell of a crashed owner.
+TAKEOVER_LIMIT_MS = 2_000
 # Time in which a worker that replies ends the runs of a cancelled job.
 STOP_LIMIT_MS = 3_000
 # Less than the lease that the start carries.
@@ -398,3 +408,63 @@
         await assert_each_task_runs_once(simulation)
 
     run_virtual(main())
+
+
+def latest_end_ms(with_takeover: bool) -> int:
+    """Return the time after which runs of a worker out of reach are certainly over."""
+    times = lease_times(LONGEST_LEASE_MS)
+    if with_takeover:
+        return TAKEOVER_LIMIT_MS + times.unknown_ms
+    return RENEWAL_WAIT_MS + times.unlisted_ms
+
+
+@pytest.mark.parametrize("seed", range(2))
+@pytest.mark.parametrize("is_ended", [False, True])
+@pytest.mark.parametrize("with_takeover", [False, True])
+@pytest.mark.parametrize(
+    "result", [CommandResult.NO_LISTENER, CommandResult.OTHER_LIFE]
+)
+def test_runs_of_a_refusing_worker_end_with_its_lease(
+    result: CommandResult, with_takeover: bool, is_ended: bool, seed: int
+) -> None:
+    """Guards against runs that are given up before their lease ends, or much later."""
+
+    async def main() -> None:
+        simulation, worker = await start_tasks(seed, 10 * TASK_MS)
+        refuse_calls(simulation, worker, result)
+        refused_ms = simulation.clock.now_ms()
+        lease_ms = worker.lease_ms
+        if is_ended:
+            worker.restart()
+        if with_takeover:
+            await simulation.owner().crash()
+        await simulation.sleep_ms(lease_ms - simulation.clock.now_ms() - 1)
+        assert simulation.work.starts == TASKS
+        limit_ms = refused_ms + latest_end_ms(with_takeover) + RESTART_LIMIT_MS
+        await simulation.sleep_ms(limit_ms - simulation.clock.now_ms())
+        assert not worker.running
+        running = sum(len(fake.running) for fake in simulation.workers.values())
+        assert running == TASKS
+        assert simulation.work.breaches == []
+
+    run_virtual(main())
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+@pytest.mark.parametrize(
+    "result", [CommandResult.NO_LISTENER, CommandResult.OTHER_LIFE]
+)
+def test_refusing_worker_gets_no_start(result: CommandResult, seed: int) -> None:
+    """Guards against starts that are wasted on a worker after its first refusal."""
+
+    async def main() -> None:
+        simulation, worker = await start_tasks(seed, 10 * TASK_MS)
+        owner = simulation.owner()
+        refuse_calls(simulation, worker, result)
+        while not events_of(simulation, Event.WORKER_SILENT):
+            await simulation.sleep_ms(1)
+        assert await simulation.submit(build_workflow("j2", build_step(6)))
+        assert await simulation.until("j2", WorkflowState.COMPLETED, 20_000)
+        assert owner.agent.refused_starts == 0
+
+    run_virtual(main())
