--- a/tests/test_run_ends.py
+++ b/tests/test_run_ends.py
@@ -6,9 +6,14 @@
 import pytest
 from result import Err, Ok, Result
 
-from hyssopweir.agent_link import COMMAND_TIMEOUT_MS
+from hyssopweir.agent_link import (
+    COMMAND_TIMEOUT_MS,
+    LONGEST_LEASE_MS,
+    RENEWAL_WAIT_MS,
+    lease_times,
+)
 from hyssopweir.agents import CommandResult, LeaseReply
-from hyssopweir.events import EventLog
+from hyssopweir.events import Event, EventLog
 from hyssopweir.platform.http_agent import HttpAgent
 from hyssopweir.platform.json_http_client import JsonHttpClient, Response
 from hyssopweir.task_state import RunRef, TaskRef
@@ -22,6 +27,7 @@
     build_step,
     build_workflow,
 )
+from tests.job_checks import events_of
 from tests.virtual_time import VirtualClock, run_virtual
 
 JOB = "j1"
@@ -30,6 +36,10 @@
 # Time in which all tasks end, also those that wait for a lease to expire first.
 JOB_LIMIT_MS = 60_000
 REFUSAL_TIMES_MS = [500, 1_000, 2_000, 3_000]
+# Two calls, a commit and the start on another worker.
+RESTART_LIMIT_MS = 1_000
+# Time in which another instance takes over the cell of a crashed owner.
+TAKEOVER_LIMIT_MS = 2_000
 # Time in which a worker that replies ends the runs of a cancelled job.
 STOP_LIMIT_MS = 3_000
 # Less than the lease that the start carries.
@@ -327,18 +337,161 @@
     run_virtual(main())
 
 
-@pytest.mark.parametrize("seed", SEEDS)
-def test_entry_at_the_address_of_a_worker_does_not_start_its_tasks_again(
-    seed: int,
+@pytest.mark.parametrize("seed", range(2))
+@pytest.mark.parametrize("unlisted_ms", [1_000, 6_000, 18_000])
+def test_runs_of_an_unlisted_worker_that_is_heard_go_on(
+    unlisted_ms: int, seed: int
 ) -> None:
-    """Guards against a second run when an expired entry's address has another entry."""
+    """Guards against a second run when the entry of a worker at work vanishes."""
 
     async def main() -> None:
-        simulation, worker = await start_tasks(seed)
+        simulation, worker = await start_tasks(seed, 4 * TASK_MS)
         worker.is_listed = False
-        simulation.add_worker(worker.entry._replace(worker_id="w9"))
-        await simulation.sleep_ms(2_000)
+        await simulation.sleep_ms(unlisted_ms)
         worker.is_listed = True
         await assert_each_task_runs_once(simulation)
 
     run_virtual(main())
+
+
+@pytest.mark.parametrize("seed", range(2))
+@pytest.mark.parametrize("with_takeover", [False, True])
+@pytest.mark.parametrize("unlisted_ms", [1_000, 3_000])
+def test_entry_of_another_worker_at_its_address_ends_no_run(
+    unlisted_ms: int, with_takeover: bool, seed: int
+) -> None:
+    """Guards against a second run when the list shows a wrong worker at an address."""
+
+    async def main() -> None:
+        simulation, worker = await start_tasks(seed, 2 * TASK_MS)
+        entry = worker.entry
+        if with_takeover:
+            await simulation.owner().crash()
+            await simulation.sleep_ms(2_000)
+        worker.is_listed = False
+        newcomer = simulation.add_worker(entry._replace(worker_id="w9"))
+        await simulation.sleep_ms(unlisted_ms)
+        worker.is_listed, newcomer.is_listed = True, False
+        await assert_each_task_runs_once(simulation)
+
+    run_virtual(main())
+
+
+async def restart_with_listed_birth(
+    simulation: CellSimulation, worker: FakeWorker, listed_ms: int, born_ms: int
+) -> None:
+    """Restart a worker, and change its listed entry of the former life afterwards."""
+    worker.entry = worker.entry._replace(born_ms=listed_ms)
+    await simulation.sleep_ms(1_000)
+    worker.restart(born_ms)
+    # The owner hears the new life and starts tasks there.
+    await simulation.sleep_ms(3_000)
+    worker.entry = worker.entry._replace(machine="m1")
+    await simulation.sleep_ms(1_000)
+
+
+@pytest.mark.parametrize("seed", range(2))
+@pytest.mark.parametrize(
+    "born_ms", [pytest.param(9_000, id="later"), pytest.param(4_000, id="clock_back")]
+)
+def test_late_entry_of_a_former_life_ends_no_run(born_ms: int, seed: int) -> None:
+    """Guards against a second run when the list is behind a restart of a worker."""
+
+    async def main() -> None:
+        simulation = CellSimulation(workers=2, seed=seed)
+        for fake in simulation.workers.values():
+            fake.born_ms = 5_000
+        await simulation.sleep_ms(1_500)
+        step = build_step(TASKS, estimated_ms=2 * TASK_MS)
+        assert await simulation.submit(build_workflow(JOB, step))
+        await simulation.sleep_ms(1_000)
+        worker = simulation.workers["w0"]
+        simulation.add_worker(build_entry(9))
+        await restart_with_listed_birth(simulation, worker, 5_000, born_ms)
+        await assert_each_task_runs_once(simulation)
+
+    run_virtual(main())
+
+
+@pytest.mark.parametrize("is_clock_reset", [False, True])
+@pytest.mark.parametrize("late_ms", [2_000, 3_500, 6_000, 12_000])
+def test_late_start_on_a_restarted_worker_is_no_second_run(
+    late_ms: int, is_clock_reset: bool
+) -> None:
+    """Guards against a start that a worker's former life was told to refuse."""
+
+    async def main() -> None:
+        simulation = CellSimulation()
+        await simulation.sleep_ms(1_500)
+        late_start = ProxyAnswer(None, late_ms)
+        # The first starts on each worker.
+        answer_commands(simulation, [late_start])
+        step = build_step(TASKS, estimated_ms=3 * TASK_MS)
+        assert await simulation.submit(build_workflow(JOB, step))
+        # The stop is confirmed, and the task starts elsewhere.
+        await simulation.sleep_ms(1_500)
+        for worker in simulation.workers.values():
+            worker.restart(is_clock_reset=is_clock_reset)
+        await assert_each_task_runs_once(simulation)
+
+    run_virtual(main())
+
+
+def latest_end_ms(with_takeover: bool) -> int:
+    """Return the time after which runs of a worker out of reach are certainly over."""
+    times = lease_times(LONGEST_LEASE_MS)
+    if with_takeover:
+        return TAKEOVER_LIMIT_MS + times.unknown_ms
+    return RENEWAL_WAIT_MS + times.unlisted_ms
+
+
+@pytest.mark.parametrize("seed", range(2))
+@pytest.mark.parametrize("is_ended", [False, True])
+@pytest.mark.parametrize("with_takeover", [False, True])
+@pytest.mark.parametrize(
+    "result", [CommandResult.NO_LISTENER, CommandResult.OTHER_LIFE]
+)
+def test_runs_of_a_refusing_worker_end_with_its_lease(
+    result: CommandResult, with_takeover: bool, is_ended: bool, seed: int
+) -> None:
+    """Guards against runs that are given up before their lease ends, or much later."""
+
+    async def main() -> None:
+        simulation, worker = await start_tasks(seed, 10 * TASK_MS)
+        refuse_calls(simulation, worker, result)
+        refused_ms = simulation.clock.now_ms()
+        lease_ms = worker.lease_ms
+        if is_ended:
+            worker.restart()
+        if with_takeover:
+            await simulation.owner().crash()
+        await simulation.sleep_ms(lease_ms - simulation.clock.now_ms() - 1)
+        assert simulation.work.starts == TASKS
+        limit_ms = refused_ms + latest_end_ms(with_takeover) + RESTART_LIMIT_MS
+        await simulation.sleep_ms(limit_ms - simulation.clock.now_ms())
+        assert not worker.running
+        running = sum(len(fake.running) for fake in simulation.workers.values())
+        assert running == TASKS
+        assert simulation.work.breaches == []
+
+    run_virtual(main())
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+@pytest.mark.parametrize(
+    "result", [CommandResult.NO_LISTENER, CommandResult.OTHER_LIFE]
+)
+def test_refusing_worker_gets_no_start(result: CommandResult, seed: int) -> None:
+    """Guards against starts that are wasted on a worker after its first refusal."""
+
+    async def main() -> None:
+        simulation, worker = await start_tasks(seed, 10 * TASK_MS)
+        owner = simulation.owner()
+        refuse_calls(simulation, worker, result)
+        while not events_of(simulation, Event.WORKER_SILENT):
+            await simulation.sleep_ms(1)
+        assert await simulation.submit(build_workflow("j2", build_step(6)))
+        assert await simulation.until("j2", WorkflowState.COMPLETED, 20_000)
+        assert owner.agent.refused_starts == 0
+
+    run_virtual(main())
