Show run ends without evidence (failing tests)

Each test plays one: an owner that is cut off from the store alone, a stop that is answered 421 (two tests), a reply that no worker gives (404, 500, 502, 504), a report of a new life that was built before a start there, a lease that a start granted on the clock of the former life, and another entry at the address of a worker that replies.

--- a/tests/test_run_end_evidence.py
+++ b/tests/test_run_end_evidence.py
@@ -2,16 +2,26 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
-from typing import Any
+from typing import Any, cast
 
-from result import Ok
+import pytest
+from aiohttp import web
+from result import Err, Ok, Result
 
-from hyssopweir.agents import CommandResult, StartCommand
+from hyssopweir.agent_link import LONGEST_LEASE_MS, AgentLink, lease_times
+from hyssopweir.agents import (
+    Agent,
+    CommandResult,
+    LeaseReply,
+    StartCommand,
+    WorkerEntry,
+)
 from hyssopweir.clock import Clock, Millis
-from hyssopweir.events import EventLog
+from hyssopweir.events import Event, EventLog
+from hyssopweir.ownership_proof import OwnershipProof
 from hyssopweir.platform.http_agent import HttpAgent
 from hyssopweir.platform.json_http_client import JsonHttpClient
-from hyssopweir.task_state import RunRef, TaskRef
+from hyssopweir.task_state import Run, RunRef, TaskRef
 from tests.agent_fakes import FakeWorker
 from tests.cell_simulation import (
     CellSimulation,
@@ -19,7 +29,8 @@
     build_step,
     build_workflow,
 )
-from tests.virtual_time import run_virtual
+from tests.job_checks import events_of
+from tests.virtual_time import VirtualClock, run_virtual
 
 TASKS = 8
 HOST = "127.0.0.1"
@@ -140,3 +151,232 @@
         assert simulation.work.breaches == []
 
     run_virtual(main())
+
+
+@pytest.mark.parametrize("is_listed", [False, True])
+def test_owner_without_its_store_keeps_no_run_alive(is_listed: bool) -> None:
+    """Guards against two runs while an owner and a worker are cut off together."""
+
+    async def main() -> None:
+        simulation, worker = await start_endless_tasks()
+        owner = simulation.owner()
+        for instance in simulation.instances:
+            instance.agent.cut_workers = {worker.entry.worker_id}
+        owner.agent.cut_workers = set(simulation.workers) - {worker.entry.worker_id}
+        owner.faults.is_silent = True
+        worker.is_listed = is_listed
+        await simulation.sleep_ms(15_000)
+        assert simulation.work.breaches == []
+
+    run_virtual(main())
+
+
+def test_stop_that_another_process_answered_is_sent_again() -> None:
+    """Guards against a run of a cancelled job that goes on after a reply 421."""
+
+    async def main() -> None:
+        simulation, worker = await start_endless_tasks()
+        for instance in simulation.instances:
+            instance.agent.gone_result = CommandResult.OTHER_LIFE
+            instance.agent.gone_workers.add(worker.entry.worker_id)
+        assert (await simulation.instances[1].api.cancel("j1", 3_000)).is_ok()
+        while not events_of(simulation, Event.TASK_EVICTING):
+            await simulation.sleep_ms(1)
+        await simulation.sleep_ms(10)
+        for instance in simulation.instances:
+            instance.agent.gone_workers.clear()
+        await simulation.sleep_ms(5_000)
+        assert not any(fake.running for fake in simulation.workers.values())
+
+    run_virtual(main())
+
+
+def test_uncertain_start_is_settled_after_another_process_answered() -> None:
+    """Guards against a task that waits for good for a start that was never made."""
+
+    async def main() -> None:
+        simulation = CellSimulation(4)
+        await simulation.sleep_ms(1_000)
+        lost: list[RunRef] = []
+        for instance in simulation.instances:
+            start, stop = instance.agent.start, instance.agent.stop
+
+            async def lose_first_start(
+                entry: WorkerEntry,
+                command: StartCommand,
+                timeout_ms: Millis,
+                start: Callable[..., Awaitable[CommandResult]] = start,
+            ) -> CommandResult:
+                if lost:
+                    return await start(entry, command, timeout_ms)
+                lost.append(command.ref)
+                await simulation.clock.sleep_ms(timeout_ms)
+                return CommandResult.UNKNOWN
+
+            async def misdirect_first_stop(
+                *args: Any, stop: Callable[..., Awaitable[CommandResult]] = stop
+            ) -> CommandResult:
+                if len(lost) > 1:
+                    return await stop(*args)
+                lost.append(args[1])
+                return CommandResult.OTHER_LIFE
+
+            agent = cast(Any, instance.agent)
+            agent.start, agent.stop = lose_first_start, misdirect_first_stop
+        step = build_step(TASKS, is_endless=True)
+        assert await simulation.submit(build_workflow("j1", step))
+        await simulation.sleep_ms(10_000)
+        assert sum(len(fake.running) for fake in simulation.workers.values()) == TASKS
+
+    run_virtual(main())
+
+
+@pytest.mark.parametrize("body", [b"", b"{}", b"upstream timed out"])
+@pytest.mark.parametrize("status", [404, 500, 502, 504])
+def test_reply_of_a_proxy_does_not_prove_that_nothing_was_done(
+    status: int, body: bytes
+) -> None:
+    """Guards against a run that starts although its start counts as refused."""
+
+    async def reply(_: web.BaseRequest) -> web.StreamResponse:
+        return web.Response(status=status, body=body)
+
+    async def main() -> None:
+        runner = web.ServerRunner(web.Server(reply))
+        await runner.setup()
+        site = web.TCPSite(runner, HOST, 0)
+        await site.start()
+        entry = build_entry(host=HOST, port=runner.addresses[0][1])
+        client = JsonHttpClient()
+        agent = HttpAgent(client, EventLog("a", "kista", Clock()))
+        results = [
+            await agent.start(entry, COMMAND, 1_000),
+            await agent.stop(entry, REF, 7, 1_000),
+        ]
+        await client.close()
+        await runner.cleanup()
+        assert results == [CommandResult.UNKNOWN] * 2
+
+    asyncio.run(main())
+
+
+@pytest.mark.parametrize("after_ms", [300, 500, 700])
+def test_start_in_a_new_life_outlasts_an_earlier_report_of_it(after_ms: int) -> None:
+    """Guards against the end of a run that a restarted worker has just accepted."""
+
+    async def main() -> None:
+        simulation = CellSimulation(2)
+        await simulation.sleep_ms(1_000)
+        delay_lease_replies(simulation, 250)
+        await simulation.sleep_ms(1_500 + after_ms)
+        for worker in simulation.workers.values():
+            worker.restart()
+        await simulation.sleep_ms(120)
+        step = build_step(4, is_endless=True)
+        assert await simulation.submit(build_workflow("j1", step))
+        await simulation.sleep_ms(4_000)
+        assert events_of(simulation, Event.WORKER_RESTARTED)
+        assert simulation.work.starts == 4
+        assert simulation.work.breaches == []
+
+    run_virtual(main())
+
+
+class RestartingWorker:
+    """Agent of one worker whose clock begins anew when it restarts."""
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._lives = 0
+        self.is_cut = False
+        self.restart(clock_ms=400_000)
+
+    def restart(self, clock_ms: Millis) -> None:
+        self._lives += 1
+        self._offset_ms = clock_ms - self._clock.now_ms()
+        self._lease_until_ms = 0
+
+    def lease_left_ms(self) -> Millis:
+        return self._lease_until_ms - self._worker_ms()
+
+    def _worker_ms(self) -> Millis:
+        return self._clock.now_ms() + self._offset_ms
+
+    def _grant(self, until_ms: Millis) -> None:
+        longest_ms = self._worker_ms() + LONGEST_LEASE_MS
+        self._lease_until_ms = max(self._lease_until_ms, min(until_ms, longest_ms))
+
+    async def start(
+        self, _: WorkerEntry, command: StartCommand, __: Millis
+    ) -> CommandResult:
+        self._grant(command.lease_until_ms)
+        return CommandResult.ACCEPTED
+
+    async def renew_leases(
+        self,
+        _: WorkerEntry,
+        __: int,
+        ___: int,
+        lease_until_ms: Millis | None,
+        wait_ms: Millis,
+        timeout_ms: Millis,
+    ) -> Result[LeaseReply, CommandResult]:
+        lives = self._lives
+        if not self.is_cut:
+            self._grant(lease_until_ms or 0)
+            await self._clock.sleep_ms(wait_ms)
+        if self.is_cut or lives != self._lives:
+            await self._clock.sleep_ms(timeout_ms - wait_ms)
+            return Err(CommandResult.UNKNOWN)
+        return Ok(LeaseReply(self._worker_ms(), self._lives, [], []))
+
+
+def test_lease_that_a_start_gave_to_a_new_life_is_waited_for() -> None:
+    """Guards against a lease end computed from the clock of a former life."""
+
+    async def main() -> None:
+        clock = VirtualClock()
+        worker = RestartingWorker(clock)
+        log = EventLog("a", "kista", clock)
+        left_ms: list[Millis] = []
+        link = AgentLink(
+            build_entry(),
+            1,
+            cast(Agent, worker),
+            clock,
+            log,
+            lambda *_: None,
+            lambda: None,
+            OwnershipProof("c0", clock, log),
+            lease_times(LONGEST_LEASE_MS),
+            lambda _: left_ms.append(worker.lease_left_ms()),
+            lambda _: None,
+        )
+        renewals = asyncio.ensure_future(link.run())
+        await clock.sleep_ms(2_000)
+        worker.restart(clock_ms=100)
+        run = Run(REF, "w0", 0, clock.now_ms())
+        assert await link.start(run, "paint", "") is CommandResult.ACCEPTED
+        await clock.sleep_ms(3_000)
+        worker.is_cut = True
+        while not left_ms:
+            await clock.sleep_ms(10)
+        renewals.cancel()
+        assert left_ms[0] <= 0
+
+    run_virtual(main())
+
+
+def test_entry_at_the_address_of_a_worker_that_replies_ends_no_run() -> None:
+    """Guards against lost work on a worker that lost its entry, not its process."""
+
+    async def main() -> None:
+        simulation, worker = await start_endless_tasks()
+        worker.is_listed = False
+        entry = build_entry(9, host=worker.entry.host, port=worker.entry.port)
+        simulation.add_worker(entry).is_cut = True
+        await simulation.sleep_ms(3_000)
+        assert simulation.work.starts == TASKS
+        assert simulation.work.breaches == []
+
+    run_virtual(main())
