Show that a replaced owner can still prove its ownership (failing test)

A heartbeat is conditional on the heartbeat row alone, which a claim doesn't change. Until the first heartbeat of the next owner is stored, that of a former owner that wakes from a pause is accepted and counts as its proof, and it renews leases beyond the time after which the next owner ends the runs.

--- a/tests/test_run_end_evidence.py
+++ b/tests/test_run_end_evidence.py
@@ -16,6 +16,7 @@
     StartCommand,
     WorkerEntry,
 )
+from hyssopweir.cell_heartbeats import CellHeartbeats, Heartbeat, HeartbeatResult
 from hyssopweir.clock import Clock, Millis
 from hyssopweir.events import Event, EventLog
 from hyssopweir.ownership_proof import OwnershipProof
@@ -171,6 +172,38 @@
     run_virtual(main())
 
 
+@pytest.mark.parametrize("pause_ms", [1_600, 1_800])
+def test_owner_that_wakes_before_the_first_heartbeat_of_the_next_proves_nothing(
+    pause_ms: Millis, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a heartbeat of a replaced owner that counts as its proof."""
+    write = CellHeartbeats.write
+
+    async def main() -> None:
+        simulation, worker = await start_endless_tasks()
+        owner = simulation.owner()
+        for instance in simulation.instances:
+            instance.agent.cut_workers = {worker.entry.worker_id}
+        owner.agent.cut_workers = set(simulation.workers) - {worker.entry.worker_id}
+        worker.is_listed = False
+
+        async def delay_first_write(
+            self: CellHeartbeats, cell: str, heartbeat: Heartbeat
+        ) -> HeartbeatResult:
+            if heartbeat.epoch == 2 and heartbeat.number == 1:
+                await simulation.clock.sleep_ms(2_500)
+            return await write(self, cell, heartbeat)
+
+        monkeypatch.setattr(CellHeartbeats, "write", delay_first_write)
+        owner.set_frozen(True)
+        await simulation.sleep_ms(pause_ms)
+        owner.set_frozen(False)
+        await simulation.sleep_ms(12_000)
+        assert simulation.work.breaches == []
+
+    run_virtual(main())
+
+
 def test_stop_that_another_process_answered_is_sent_again() -> None:
     """Guards against a run of a cancelled job that goes on after a reply 421."""
 
