Show that a stop in a former life settles no start (failing test)

A start without a reply counts as settled once its stop was accepted. After a restart under the same id, the worker knows neither the stop nor the fencing token, and carries the late start out beside the next run of the task.

--- a/tests/test_run_end_evidence.py
+++ b/tests/test_run_end_evidence.py
@@ -315,6 +315,45 @@
     run_virtual(main())
 
 
+def test_stop_by_a_former_life_does_not_settle_a_late_start() -> None:
+    """Guards against a start that is carried out after a restart, beside the next."""
+
+    async def main() -> None:
+        simulation = CellSimulation(4)
+        await simulation.sleep_ms(1_000)
+        late: list[WorkerEntry] = []
+        for instance in simulation.instances:
+            start = instance.agent.start
+
+            async def delay_first_start(
+                entry: WorkerEntry,
+                command: StartCommand,
+                timeout_ms: Millis,
+                start: Callable[..., Awaitable[CommandResult]] = start,
+            ) -> CommandResult:
+                if late:
+                    return await start(entry, command, timeout_ms)
+                late.append(entry)
+                fake = simulation.workers[entry.worker_id]
+                asyncio.get_running_loop().call_later(1.5, fake.start, command)
+                await simulation.clock.sleep_ms(timeout_ms)
+                return CommandResult.UNKNOWN
+
+            cast(Any, instance.agent).start = delay_first_start
+        step = build_step(1, is_endless=True)
+        assert await simulation.submit(build_workflow("j1", step))
+        while not events_of(simulation, Event.TASK_EVICTING):
+            await simulation.sleep_ms(1)
+        # The stop is accepted, but the next report hasn't come yet.
+        await simulation.sleep_ms(10)
+        simulation.workers[late[0].worker_id].restart()
+        await simulation.sleep_ms(5_000)
+        assert simulation.work.breaches == []
+        assert sum(len(fake.running) for fake in simulation.workers.values()) == 1
+
+    run_virtual(main())
+
+
 class RestartingWorker:
     """Agent of one worker whose clock begins anew when it restarts."""
 
