Grant no lease beyond a bound after the last proof of ownership

Callers see a task that runs twice. Cause: an owner that is cut off from the store alone renewed leases without end, while its successor, out of reach of the worker, gave its runs up 4.8 s (unlisted) or 10.4 s (listed) after its claim. Besides, the former owner's heartbeat is accepted until the successor's first one is stored. Change: a lease ends at most 6 s after the last stored heartbeat that proves the ownership. A successor counts its waits from the last moment at which a former owner can have had one: the heartbeat that it saw before its claim if its first one replaced just that, else its first one. An unlisted worker that it never heard is given up 6.3 s after that. Measured: test_run_ends -k without_a_store, 10 of 16 cases failed before; test_run_end_evidence -k 'its_store or wakes_before', all pass now, as do test_paused_owner and test_task_of_a_lost_worker_restarts_after_takeovers.

--- a/hyssopweir/agent_link.py
+++ b/hyssopweir/agent_link.py
@@ -15,7 +15,7 @@
 )
 from hyssopweir.clock import Clock, Millis
 from hyssopweir.events import Event, EventLog
-from hyssopweir.ownership_proof import OwnershipProof
+from hyssopweir.ownership_proof import PROVEN_LEASE_MS, OwnershipProof
 from hyssopweir.task_state import Run, RunRef
 from hyssopweir.worker_load import WorkerLoad
 
@@ -52,9 +52,9 @@
     """Length of a lease, and times after which leases of others have expired.
 
     ``previous_ms`` bounds a lease that a previous owner may have granted. A worker that
-    never replied to this owner has no lease left after ``unknown_ms``, in which a
-    previous owner that was never fenced may have renewed it until it was superseded; if
-    it isn't listed any more, after ``unlisted_ms``.
+    never replied to this owner has no lease left after ``unknown_ms``; if it isn't
+    listed any more, after ``unlisted_ms``. Both count from the last proof of ownership
+    of a previous owner.
     """
 
     lease_ms: Millis
@@ -67,12 +67,11 @@
     """Return the times for workers that grant at most ``longest_lease_ms``."""
     lease_ms = min(LEASE_MS, longest_lease_ms)
     previous_ms = lease_ms + PREVIOUS_MARGIN_MS
-    return LeaseTimes(
-        lease_ms,
-        previous_ms,
-        int(longest_lease_ms / MIN_CLOCK_RATE) + EXPIRY_MARGIN_MS,
-        int(previous_ms / MIN_CLOCK_RATE) + EXPIRY_MARGIN_MS,
-    )
+    # A slow clock stretches the part of the lease that the worker counts.
+    slow_ms = int(lease_ms / MIN_CLOCK_RATE) - lease_ms
+    unlisted_ms = PROVEN_LEASE_MS + slow_ms + EXPIRY_MARGIN_MS
+    longest_ms = int(longest_lease_ms / MIN_CLOCK_RATE) + EXPIRY_MARGIN_MS
+    return LeaseTimes(lease_ms, previous_ms, max(unlisted_ms, longest_ms), unlisted_ms)
 
 
 class ClockReading(NamedTuple):
@@ -136,8 +135,11 @@
         """Return the expiry of a new lease on the worker's clock, 0 if unknown."""
         if self._clock_reading is None:
             return 0
+        lease_ms = min(self._times.lease_ms, self._proof.lease_left_ms())
+        if lease_ms <= 0:
+            return self._lease_until_ms
         passed_ms = self._clock.now_ms() - self._clock_reading.local_ms
-        return self._clock_reading.worker_ms + passed_ms + self._times.lease_ms
+        return self._clock_reading.worker_ms + passed_ms + lease_ms
 
     def has_lapsed(self) -> bool:
         """Return whether all leases have certainly expired on the worker's clock."""
@@ -147,7 +149,10 @@
         """Return the time until all leases have certainly expired, negative after."""
         reading = self._clock_reading
         if reading is None:
-            since_ms, duration_ms = self._opened_ms, self._times.unknown_ms
+            former_ms, duration_ms = self._proof.former_ms, self._times.unknown_ms
+            if former_ms is None:
+                return duration_ms
+            since_ms = max(self._opened_ms, former_ms)
         else:
             lease_ms = self._lease_until_ms - reading.worker_ms
             since_ms, duration_ms = reading.local_ms, int(lease_ms / MIN_CLOCK_RATE)
--- a/hyssopweir/cell.py
+++ b/hyssopweir/cell.py
@@ -89,12 +89,16 @@
 
 
 class CellClaim(NamedTuple):
-    """A successful claim of a cell, with the last heartbeat of its previous owner."""
+    """A successful claim of a cell, with the last heartbeat of its previous owner.
+
+    That heartbeat was seen unchanged for ``silent_ms`` before the claim.
+    """
 
     grant: OwnershipGrant
     ownership: CellOwnership
     heartbeats: CellHeartbeats
     previous_heartbeat: Heartbeat | None
+    silent_ms: Millis
 
 
 class Cell:
@@ -222,12 +226,25 @@
             if not outcome.is_stored:
                 continue
             self._proof.record_proof(sent_ms)
+            self._record_takeover(heartbeat)
             if heartbeat.is_released:
                 self._release_stored.set()
             requested = asyncio.ensure_future(self._heartbeat_requested.wait())
             await asyncio.wait([requested], timeout=heartbeats.interval_ms / 1_000)
             requested.cancel()
 
+    def _record_takeover(self, stored: Heartbeat) -> None:
+        """Record since when no heartbeat of a previous owner can be stored.
+
+        If this heartbeat replaced the one that was seen before the claim, there was
+        none in between.
+        """
+        former = self._claim.previous_heartbeat
+        if stored.version == (former.version if former is not None else ABSENT):
+            self._proof.record_takeover(self._claimed_ms - self._claim.silent_ms)
+        else:
+            self._proof.record_takeover(self._clock.now_ms())
+
     def _next_heartbeat(self) -> Heartbeat:
         self._heartbeat_count += 1
         return Heartbeat(
@@ -496,7 +513,8 @@
         This owner granted them no lease, and those of previous ones have expired,
         whenever the entry of the worker disappeared.
         """
-        if now_ms - self._claimed_ms <= self._times.unlisted_ms:
+        former_ms = self._proof.former_ms
+        if former_ms is None or now_ms - former_ms <= self._times.unlisted_ms:
             return
         silent_workers = {
             run.worker
--- a/hyssopweir/cell_host.py
+++ b/hyssopweir/cell_host.py
@@ -156,7 +156,8 @@
             )
             self._ownerships[cell] = ownership
         heartbeat = heartbeats.known.get(cell)
-        grant = await ownership.claim(heartbeat, detector.silent_ms(cell))
+        silent_ms = detector.silent_ms(cell)
+        grant = await ownership.claim(heartbeat, silent_ms)
         if grant is None:
             return False
         if self._is_released:
@@ -164,7 +165,7 @@
             return False
         del self._vacant_since_ms[cell]
         owned = self._new_cell(
-            cell, layout, CellClaim(grant, ownership, heartbeats, heartbeat)
+            cell, layout, CellClaim(grant, ownership, heartbeats, heartbeat, silent_ms)
         )
         self.owned[cell] = owned
         self._tasks.spawn(self._run_cell(cell, owned))
