--- a/hyssopweir/agent_link.py
+++ b/hyssopweir/agent_link.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 from result import Err
 
@@ -15,7 +15,7 @@
 )
 from hyssopweir.clock import Clock, Millis
 from hyssopweir.events import Event, EventLog
-from hyssopweir.ownership_proof import OwnershipProof
+from hyssopweir.ownership_proof import PROVEN_LEASE_MS, OwnershipProof
 from hyssopweir.task_state import Run, RunRef
 from hyssopweir.worker_load import WorkerLoad
 
@@ -41,11 +41,9 @@
 MAX_RETRY_MS: Millis = 200
 # Pause before ended runs that are not stored yet are asked for again.
 UNSTORED_PAUSE_MS: Millis = 500
-# Results that come from the worker's machine and show that its process has ended, and
-# with it all that it ran. A cut or a lost reply never causes them.
-GONE_RESULTS = frozenset({CommandResult.NO_LISTENER, CommandResult.OTHER_LIFE})
-# So many in a row end the runs of the worker.
-GONE_REPLIES = 2
+# Another process or none answers at the worker's address. A crash causes them, but so
+# do a proxy, a firewall and a full backlog: they stop new work, and end no run.
+ABSENCE_RESULTS = frozenset({CommandResult.NO_LISTENER, CommandResult.OTHER_LIFE})
 # Timeout of a renewal shortly before the lease expires.
 MIN_TIMEOUT_MS: Millis = 100
 
@@ -54,9 +52,9 @@
     """Length of a lease, and times after which leases of others have expired.
 
     ``previous_ms`` bounds a lease that a previous owner may have granted. A worker that
-    never replied to this owner has no lease left after ``unknown_ms``, in which a
-    previous owner that was never fenced may have renewed it until it was superseded; if
-    it isn't listed any more, after ``unlisted_ms``.
+    never replied to this owner has no lease left after ``unknown_ms``; if it isn't
+    listed any more, after ``unlisted_ms``. Both count from the last proof of ownership
+    of a previous owner.
     """
 
     lease_ms: Millis
@@ -69,12 +67,11 @@
     """Return the times for workers that grant at most ``longest_lease_ms``."""
     lease_ms = min(LEASE_MS, longest_lease_ms)
     previous_ms = lease_ms + PREVIOUS_MARGIN_MS
-    return LeaseTimes(
-        lease_ms,
-        previous_ms,
-        int(longest_lease_ms / MIN_CLOCK_RATE) + EXPIRY_MARGIN_MS,
-        int(previous_ms / MIN_CLOCK_RATE) + EXPIRY_MARGIN_MS,
-    )
+    # A slow clock stretches the part of the lease that the worker counts.
+    slow_ms = int(lease_ms / MIN_CLOCK_RATE) - lease_ms
+    unlisted_ms = PROVEN_LEASE_MS + slow_ms + EXPIRY_MARGIN_MS
+    longest_ms = int(longest_lease_ms / MIN_CLOCK_RATE) + EXPIRY_MARGIN_MS
+    return LeaseTimes(lease_ms, previous_ms, max(unlisted_ms, longest_ms), unlisted_ms)
 
 
 class ClockReading(NamedTuple):
@@ -108,7 +105,6 @@
         proof: OwnershipProof,
         times: LeaseTimes,
         on_lapsed: Callable[["AgentLink"], None],
-        on_gone: Callable[["AgentLink"], None],
     ) -> None:
         self.load = WorkerLoad(entry)
         self._token = token
@@ -120,9 +116,6 @@
         self._proof = proof
         self._times = times
         self._on_lapsed = on_lapsed
-        self._on_gone = on_gone
-        # Consecutive replies that the process of the worker no longer exists.
-        self._gone_replies = 0
         self._clock_reading: ClockReading | None = None
         self._lease_until_ms: Millis = 0
         self._acknowledged = 0
@@ -142,8 +135,11 @@
         """Return the expiry of a new lease on the worker's clock, 0 if unknown."""
         if self._clock_reading is None:
             return 0
+        lease_ms = min(self._times.lease_ms, self._proof.lease_left_ms())
+        if lease_ms <= 0:
+            return self._lease_until_ms
         passed_ms = self._clock.now_ms() - self._clock_reading.local_ms
-        return self._clock_reading.worker_ms + passed_ms + self._times.lease_ms
+        return self._clock_reading.worker_ms + passed_ms + lease_ms
 
     def has_lapsed(self) -> bool:
         """Return whether all leases have certainly expired on the worker's clock."""
@@ -153,12 +149,29 @@
         """Return the time until all leases have certainly expired, negative after."""
         reading = self._clock_reading
         if reading is None:
-            since_ms, duration_ms = self._opened_ms, self._times.unknown_ms
+            former_ms, duration_ms = self._proof.former_ms, self._times.unknown_ms
+            if former_ms is None:
+                return duration_ms
+            since_ms = max(self._opened_ms, former_ms)
         else:
             lease_ms = self._lease_until_ms - reading.worker_ms
             since_ms, duration_ms = reading.local_ms, int(lease_ms / MIN_CLOCK_RATE)
         return since_ms + duration_ms + 1 - self._clock.now_ms()
 
+    def contact_fields(self) -> dict[str, Any]:
+        """Return the event fields that tell how sure it is that the worker is lost.
+
+        ``heard_ms`` is the age of its last reply, -1 without one; ``lease_left_ms`` is
+        the time until its leases have certainly expired.
+        """
+        reading = self._clock_reading
+        heard_ms = -1 if reading is None else self._clock.now_ms() - reading.local_ms
+        return {
+            "born_ms": self.born_ms,
+            "heard_ms": heard_ms,
+            "lease_left_ms": self._lapses_in_ms(),
+        }
+
     async def run(self) -> None:
         """Renew the lease until cancelled."""
         wait_ms, pause_ms = 0, RETRY_MS
@@ -211,13 +224,18 @@
             self._lease_until_ms = 0
         if self._clock_reading is None:
             self._lease_until_ms = lease_reply.clock_ms + self._times.previous_ms
+        silent_since = self._clock_reading
         self._clock_reading = ClockReading(lease_reply.clock_ms, now_ms)
         self._has_lapsed = False
-        self._gone_replies = 0
         if self._is_silent:
             self._is_silent = False
             self._silent_results.clear()
-            self._log.emit(Event.WORKER_HEARD, worker=self.entry.worker_id)
+            self._log.emit(
+                Event.WORKER_HEARD,
+                worker=self.entry.worker_id,
+                born_ms=self.born_ms,
+                silent_ms=now_ms - silent_since.local_ms if silent_since else -1,
+            )
         ends_stored = self._on_lease_reply(self, lease_reply, sent_ms)
         if ends_stored is None:
             return True
@@ -241,10 +259,10 @@
                 worker=self.entry.worker_id,
                 verdict=result.value,
                 runs=len(self.load.runs),
+                **self.contact_fields(),
             )
-        self._gone_replies = self._gone_replies + 1 if result in GONE_RESULTS else 0
-        if self._gone_replies == GONE_REPLIES:
-            self._on_gone(self)
+        if result in ABSENCE_RESULTS:
+            self.load.discard_report(self._clock.now_ms())
         if self.has_lapsed() and not self._has_lapsed:
             self._has_lapsed = True
             self._on_lapsed(self)
--- a/hyssopweir/cell.py
+++ b/hyssopweir/cell.py
@@ -89,12 +89,16 @@
 
 
 class CellClaim(NamedTuple):
-    """A successful claim of a cell, with the last heartbeat of its previous owner."""
+    """A successful claim of a cell, with the last heartbeat of its previous owner.
+
+    That heartbeat was seen unchanged for ``silent_ms`` before the claim.
+    """
 
     grant: OwnershipGrant
     ownership: CellOwnership
     heartbeats: CellHeartbeats
     previous_heartbeat: Heartbeat | None
+    silent_ms: Millis
 
 
 class Cell:
@@ -222,12 +226,25 @@
             if not outcome.is_stored:
                 continue
             self._proof.record_proof(sent_ms)
+            self._record_takeover(heartbeat)
             if heartbeat.is_released:
                 self._release_stored.set()
             requested = asyncio.ensure_future(self._heartbeat_requested.wait())
             await asyncio.wait([requested], timeout=heartbeats.interval_ms / 1_000)
             requested.cancel()
 
+    def _record_takeover(self, stored: Heartbeat) -> None:
+        """Record since when no heartbeat of a previous owner can be stored.
+
+        If this heartbeat replaced the one that was seen before the claim, there was
+        none in between.
+        """
+        former = self._claim.previous_heartbeat
+        if stored.version == (former.version if former is not None else ABSENT):
+            self._proof.record_takeover(self._claimed_ms - self._claim.silent_ms)
+        else:
+            self._proof.record_takeover(self._clock.now_ms())
+
     def _next_heartbeat(self) -> Heartbeat:
         self._heartbeat_count += 1
         return Heartbeat(
@@ -436,8 +453,7 @@
                 self.state.wake.set()
                 # An entry may be older than the last reply.
                 if entry.born_ms > link.born_ms > 0:
-                    self._reports.detect_restart(link, entry.born_ms)
-        self._lapse_replaced(entries)
+                    self._reports.detect_restart(link, entry.born_ms, "list")
         now_ms = self._clock.now_ms()
         for worker_id, link in list(self.state.links.items()):
             link.load.is_listed = worker_id in entries
@@ -462,7 +478,6 @@
             self._proof,
             self._times,
             lambda link: self._reports.lapse_all(link, "lease has expired"),
-            self._reports.end_lost_runs,
         )
         self.state.links[entry.worker_id] = link
         loop = asyncio.get_running_loop()
@@ -490,18 +505,6 @@
         self.state.interference_model.forget_worker(worker_id)
         self._unlisted_since_ms.pop(worker_id, None)
 
-    def _lapse_replaced(self, entries: Mapping[str, WorkerEntry]) -> None:
-        """End runs on workers whose address now belongs to another worker."""
-        by_address = {(entry.host, entry.port): entry for entry in entries.values()}
-        for worker_id, link in self.state.links.items():
-            if not link.load.runs:
-                continue
-            successor = by_address.get((link.entry.host, link.entry.port))
-            if successor is not None and worker_id not in entries:
-                self._reports.lapse_all(
-                    link, "another worker is registered at its address"
-                )
-
     def _lapse_unreported(
         self, entries: Mapping[str, WorkerEntry], now_ms: Millis
     ) -> None:
@@ -510,7 +513,8 @@
         This owner granted them no lease, and those of previous ones have expired,
         whenever the entry of the worker disappeared.
         """
-        if now_ms - self._claimed_ms <= self._times.unlisted_ms:
+        former_ms = self._proof.former_ms
+        if former_ms is None or now_ms - former_ms <= self._times.unlisted_ms:
             return
         silent_workers = {
             run.worker
--- a/tests/agent_fakes.py
+++ b/tests/agent_fakes.py
@@ -5,11 +5,14 @@
 """
 
 import asyncio
+from collections.abc import Callable
+from functools import partial
 from random import Random
 from typing import NamedTuple
 
 from result import Err, Ok, Result
 
+from hyssopweir.agent_link import LONGEST_LEASE_MS
 from hyssopweir.agents import (
     CommandResult,
     EndedRun,
@@ -39,6 +42,16 @@
     step: Step
 
 
+class ProxyAnswer(NamedTuple):
+    """Answer of a proxy to a command that the worker gets after ``delay_ms``, or never.
+
+    Without a result the answer is lost.
+    """
+
+    result: CommandResult | None
+    delay_ms: Millis | None
+
+
 class Workload:
     """Steps and durations of all jobs, ended tasks and violations seen by workers."""
 
@@ -79,13 +92,20 @@
         # its reply is lost.
         self.late_paces: dict[int, Millis] = {}
         self.lives = 0
+        # Time at which the worker's own clock shows 0.
+        self.clock_start_ms: Millis = 0
         self.restart()
 
-    def restart(self) -> None:
+    def restart(
+        self, born_ms: Millis | None = None, is_clock_reset: bool = False
+    ) -> None:
+        """Lose all runs, and start a new life under the same id."""
         for ref in getattr(self, "running", {}):
             self._work.live.get(ref.task, set()).discard(self.entry.worker_id)
         self.lives += 1
-        self.born_ms = self.lives
+        self.born_ms = self.lives if born_ms is None else born_ms
+        if is_clock_reset:
+            self.clock_start_ms = self._clock.now_ms()
         self.token = 0
         self.lease_ms = 0
         self.running: dict[RunRef, LiveRun] = {}
@@ -136,11 +156,12 @@
         ref, now_ms = command.ref, self._clock.now_ms()
         if ref in self.running:
             return CommandResult.ACCEPTED
-        if command.lease_until_ms <= now_ms:
+        lease_until_ms = self._local_time(command.lease_until_ms)
+        if lease_until_ms <= now_ms:
             return CommandResult.LATE
         if ref.run <= self.closed.get(ref.task, 0):
             return CommandResult.STALE
-        self.lease_ms = max(self.lease_ms, command.lease_until_ms)
+        self.lease_ms = max(self.lease_ms, lease_until_ms)
         self._check_start(ref)
         step = self._work.steps[ref.task.job][ref.task.step]
         duration_ms = self._work.duration_ms(ref.task)
@@ -150,6 +171,11 @@
         self._check_room()
         return CommandResult.ACCEPTED
 
+    def _local_time(self, lease_until_ms: Millis) -> Millis:
+        """Convert the expiry of a lease from the worker's clock, and shorten it."""
+        longest_ms = self._clock.now_ms() + LONGEST_LEASE_MS
+        return min(lease_until_ms + self.clock_start_ms, longest_ms)
+
     def _check_start(self, ref: RunRef) -> None:
         step = self._work.steps[ref.task.job][ref.task.step]
         if step.may_run_twice:
@@ -199,7 +225,8 @@
         if token < self.token:
             return CommandResult.FENCED
         self.token = token
-        self.lease_ms = max(self.lease_ms, lease_until_ms or 0)
+        if lease_until_ms is not None:
+            self.lease_ms = max(self.lease_ms, self._local_time(lease_until_ms))
         for end in self.ended:
             if end.number <= acknowledged and end.how is RunOutcome.DONE:
                 self._check_acknowledged(end.ref.task, self.end_ms[end.number])
@@ -216,7 +243,8 @@
         ]
         ended = self.ended[:REPLY_ENDS]
         is_partial = len(ended) == REPLY_ENDS
-        return LeaseReply(now_ms, self.born_ms, running, ended, is_partial)
+        clock_ms = now_ms - self.clock_start_ms
+        return LeaseReply(clock_ms, self.born_ms, running, ended, is_partial)
 
     def _check_acknowledged(self, task: TaskRef, end_ms: Millis) -> None:
         """Check an acknowledged end unless a lease has lapsed since."""
@@ -248,6 +276,17 @@
         # Workers whose process has ended, and what their machine replies.
         self.gone_workers: set[str] = set()
         self.gone_result = CommandResult.NO_LISTENER
+        # By worker, the result of new calls that do not reach it although it runs.
+        self.refusals: dict[str, CommandResult] = {}
+        self.refused_starts = 0
+        # By worker, the answers to the next start and stop commands.
+        self.start_answers: dict[str, list[ProxyAnswer]] = {}
+        self.stop_answers: dict[str, list[ProxyAnswer]] = {}
+
+    def _refusal(self, worker_id: str) -> CommandResult | None:
+        if worker_id in self.gone_workers:
+            return self.gone_result
+        return self.refusals.get(worker_id)
 
     async def _reach(self, worker: WorkerEntry, timeout_ms: Millis) -> bool:
         await self._clock.sleep_ms(LATENCY_MS)
@@ -259,6 +298,25 @@
             return False
         return True
 
+    async def _answer_for(
+        self,
+        answers: dict[str, list[ProxyAnswer]],
+        worker: WorkerEntry,
+        carry_out: Callable[[], CommandResult],
+        timeout_ms: Millis,
+    ) -> CommandResult | None:
+        """Answer a command in place of its worker, or return None."""
+        if not answers.get(worker.worker_id):
+            return None
+        answer = answers[worker.worker_id].pop(0)
+        if answer.delay_ms is not None:
+            loop = asyncio.get_running_loop()
+            loop.call_later(answer.delay_ms / 1_000, carry_out)
+        if answer.result is None:
+            await self._clock.sleep_ms(timeout_ms)
+            return CommandResult.UNKNOWN
+        return answer.result
+
     def _is_late(self, worker: FakeWorker) -> bool:
         return self._random.random() < worker.late_share
 
@@ -267,9 +325,15 @@
     ) -> CommandResult:
         if not await self._reach(worker, timeout_ms):
             return CommandResult.UNKNOWN
-        if worker.worker_id in self.gone_workers:
-            return self.gone_result
+        refusal = self._refusal(worker.worker_id)
+        if refusal is not None:
+            self.refused_starts += 1
+            return refusal
         fake = self._workers[worker.worker_id]
+        start = partial(fake.start, command)
+        answer = await self._answer_for(self.start_answers, worker, start, timeout_ms)
+        if answer is not None:
+            return answer
         if self._is_late(fake):
             delay_s = 2 + 10 * self._random.random()
             asyncio.get_running_loop().call_later(delay_s, fake.start, command)
@@ -282,9 +346,14 @@
     ) -> CommandResult:
         if not await self._reach(worker, timeout_ms):
             return CommandResult.UNKNOWN
-        if worker.worker_id in self.gone_workers:
-            return self.gone_result
+        refusal = self._refusal(worker.worker_id)
+        if refusal is not None:
+            return refusal
         fake = self._workers[worker.worker_id]
+        stop = partial(fake.stop, ref, token)
+        answer = await self._answer_for(self.stop_answers, worker, stop, timeout_ms)
+        if answer is not None:
+            return answer
         if self._is_late(fake):
             delay_s = 2 + 10 * self._random.random()
             asyncio.get_running_loop().call_later(delay_s, fake.stop, ref, token)
@@ -302,8 +371,9 @@
     ) -> CommandResult:
         if not await self._reach(worker, timeout_ms):
             return CommandResult.UNKNOWN
-        if worker.worker_id in self.gone_workers:
-            return self.gone_result
+        refusal = self._refusal(worker.worker_id)
+        if refusal is not None:
+            return refusal
         fake = self._workers[worker.worker_id]
         if percent in fake.late_paces:
             delay_s = fake.late_paces.pop(percent) / 1_000
@@ -324,8 +394,9 @@
     ) -> Result[LeaseReply, CommandResult]:
         if not await self._reach(worker, timeout_ms):
             return Err(CommandResult.UNKNOWN)
-        if worker.worker_id in self.gone_workers:
-            return Err(self.gone_result)
+        refusal = self._refusal(worker.worker_id)
+        if refusal is not None:
+            return Err(refusal)
         fake = self._workers[worker.worker_id]
         limit_ms = self._clock.now_ms() + wait_ms
         life = fake.lives
