Soak: an order that was held up stays late when its sender is gone

Trace: the order was sent 0.4 s before the cancel and held up for 3.7 s by a cut; its sender had closed the connection, and the end of the stream made the proxy forget the delay. Change: the mark lasts until a reply passes. The new test fails without the change.

--- a/soak/cases.py
+++ b/soak/cases.py
@@ -35,6 +35,7 @@
     "a successor measured the duration of an adopted run from its own adoption (24 ms),"
     " so that all other runs of the step were moved as lagging, again and again"
 )
+LATE_ORDER = "the proxy forgot that it had held up an order, once its sender was gone"
 
 CASES = (
     Case(RunPlan(1, faults_s=15, kinds=("refuse", "silence", "pause")), REFUSAL),
@@ -43,4 +44,5 @@
     Case(RunPlan(1, "gastabud-offert", load=0.5, gap_s=0.5, kinds=FIRST_KINDS), BOTH),
     Case(RunPlan(1, "karribank-lw", load=0.5, gap_s=0.5, kinds=FIRST_KINDS), BOTH),
     Case(RunPlan(102, kinds=FIRST_KINDS), ADOPTED_END),
+    Case(RunPlan(104), LATE_ORDER),
 )
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -47,7 +47,7 @@
         self.port = port
         # The last one is in force.
         self._targets = [target]
-        # Local ports of connections whose latest request was held up.
+        # Local ports of connections whose request was held up and has no reply yet.
         self.late_ports: set[int] = set()
         self._on_connected = on_connected
         self._server: asyncio.Server | None = None
@@ -130,6 +130,7 @@
             with contextlib.suppress(OSError):
                 target = self._targets[-1]
                 await link.connect(target)
+                self.late_ports.discard(link.local_port)
                 if self._on_connected is not None:
                     ends = (link.local_port, target[1])
                     self._on_connected(self, ends, peer_port)
@@ -139,7 +140,6 @@
                 )
         finally:
             del self._links[task]
-            self.late_ports.discard(link.local_port)
             link.close()
 
     async def _pump(
@@ -155,6 +155,9 @@
                 if not link.is_silent:
                     writer.write(data)
                     await writer.drain()
+                if not is_request:
+                    # The request before the reply has been handled.
+                    self.late_ports.discard(link.local_port)
             await self._hold_up(link, is_request)
             if not link.is_silent:
                 writer.close()
@@ -169,12 +172,8 @@
             await asyncio.sleep(delay_ms / 1_000)
         while self._is_cut(is_request):
             await self._changed.wait()
-        if not is_request:
-            return
-        if time.monotonic() - read_s > LATE_S:
+        if is_request and time.monotonic() - read_s > LATE_S:
             self.late_ports.add(link.local_port)
-        else:
-            self.late_ports.discard(link.local_port)
 
     def _is_cut(self, is_request: bool) -> bool:
         return any(
--- a/tests/test_soak_stand_ins.py
+++ b/tests/test_soak_stand_ins.py
@@ -10,7 +10,7 @@
 import pytest
 from aiohttp import web
 
-from soak.events import EndAcknowledged, EventRecord, RunEnded
+from soak.events import EndAcknowledged, EventRecord, RunEnded, RunStarted
 from soak.proxy import HOST, LinkState, Proxy
 from soak.worker import Shape, Work, Worker, checkpoint
 from tests.ports import free_ports
@@ -39,10 +39,14 @@
             SHAPE,
             self.record,
             lambda key: work,
-            lambda req: ("edge-1", False),
+            lambda req: ("edge-1", self.is_late(req)),
             random.Random(1),
         )
 
+    def is_late(self, req: web.BaseRequest) -> bool:
+        assert req.transport is not None
+        return req.transport.get_extra_info("peername")[1] in self.proxy.late_ports
+
     async def post(
         self, path: str, timeout_s: float = 2.0, worker_id: str = "w1", **body: Any
     ) -> tuple[int, dict[str, Any]]:
@@ -97,6 +101,11 @@
     return [event.how for event in lab.record.events if isinstance(event, RunEnded)]
 
 
+def starts_late(lab: Lab) -> list[bool]:
+    events = lab.record.events
+    return [event.is_late for event in events if isinstance(event, RunStarted)]
+
+
 def acknowledged(lab: Lab) -> int:
     return sum(isinstance(event, EndAcknowledged) for event in lab.record.events)
 
@@ -214,6 +223,24 @@
     play(case)
 
 
+def test_start_that_was_held_up_is_late_although_its_sender_is_gone() -> None:
+    """Guards against an order that counts as sent when it arrives."""
+
+    async def case(lab: Lab) -> None:
+        body = {"task": TASK, "run": 1, "deadlineMs": 5_000}
+        with (
+            lab.proxy.degraded(LinkState(cuts_requests=True)),
+            pytest.raises(TimeoutError),
+        ):
+            await lab.post("/run-start", 0.4, **body)
+        await asyncio.sleep(0.2)
+        await lab.start(2, lease_ms=5_000)
+        await lab.start(3, lease_ms=5_000)
+        assert starts_late(lab) == [True, False, False]
+
+    play(case)
+
+
 def test_silenced_connection_stays_silent_and_a_new_one_works() -> None:
     async def case(lab: Lab) -> None:
         await lab.hold()
