Count with the longest lease after the restart of a worker

Callers see a task that runs twice. Cause: a start or renewal that crosses a restart asks for a lease on the clock of the former process; the new one, whose clock begins anew, grants up to holdMaxMs, while the owner's bound of its leases began at 0. Change: the bound after a restart is the end that was asked for, at most the longest lease from the reply on.

--- a/hyssopweir/agent_link.py
+++ b/hyssopweir/agent_link.py
@@ -51,6 +51,7 @@
 class LeaseTimes(NamedTuple):
     """Length of a lease, and times after which leases of others have expired.
 
+    ``longest_ms`` is the longest lease that workers grant, whatever is asked for.
     ``previous_ms`` bounds a lease that a previous owner may have granted. A worker that
     never replied to this owner has no lease left after ``unknown_ms``; if it isn't
     listed any more, after ``unlisted_ms``. Both count from the last proof of ownership
@@ -58,6 +59,7 @@
     """
 
     lease_ms: Millis
+    longest_ms: Millis
     previous_ms: Millis
     unknown_ms: Millis
     unlisted_ms: Millis
@@ -71,7 +73,13 @@
     slow_ms = int(lease_ms / MIN_CLOCK_RATE) - lease_ms
     unlisted_ms = PROVEN_LEASE_MS + slow_ms + EXPIRY_MARGIN_MS
     longest_ms = int(longest_lease_ms / MIN_CLOCK_RATE) + EXPIRY_MARGIN_MS
-    return LeaseTimes(lease_ms, previous_ms, max(unlisted_ms, longest_ms), unlisted_ms)
+    return LeaseTimes(
+        lease_ms,
+        longest_lease_ms,
+        previous_ms,
+        max(unlisted_ms, longest_ms),
+        unlisted_ms,
+    )
 
 
 class ClockReading(NamedTuple):
@@ -221,7 +229,10 @@
         if lease_reply.born_ms != self.born_ms:
             self._acknowledged = 0
             self.born_ms = lease_reply.born_ms
-            self._lease_until_ms = 0
+            # Calls that crossed the restart ask for leases on the former clock.
+            self._lease_until_ms = min(
+                self._lease_until_ms, lease_reply.clock_ms + self._times.longest_ms
+            )
         if self._clock_reading is None:
             self._lease_until_ms = lease_reply.clock_ms + self._times.previous_ms
         silent_since = self._clock_reading
--- a/hyssopweir/ownership_proof.py
+++ b/hyssopweir/ownership_proof.py
@@ -14,8 +14,9 @@
 # With a lease that is granted after a pause of this length, the runs end before a
 # successor counts them as over: takeover and ``LeaseTimes.unlisted_ms`` take longer.
 MAX_PAUSE_MS: Millis = 1_400
-# No lease outlasts the last proof by more than this time, for which work also outlasts an
-# outage of the store. A successor waits for it before it gives up work out of its reach.
+# No lease outlasts the last proof by more than this time, for which work also outlasts
+# an outage of the store. A successor waits for it before it gives up work that it
+# doesn't reach.
 PROVEN_LEASE_MS: Millis = 6_000
 TICK_MS: Millis = 200
 WAIT_MS: Millis = 20
--- a/tests/test_run_end_evidence.py
+++ b/tests/test_run_end_evidence.py
@@ -422,7 +422,6 @@
             OwnershipProof("c0", clock, log),
             lease_times(LONGEST_LEASE_MS),
             lambda _: left_ms.append(worker.lease_left_ms()),
-            lambda _: None,
         )
         renewals = asyncio.ensure_future(link.run())
         await clock.sleep_ms(2_000)
