Read no entry of a known former process as a restart

Callers see a task that runs twice. Cause: a birth is a time of day; if that is set back, the entry of a former process looks newer than the process that replaced it, and ended its runs. Change: a link knows the births of the processes that it heard before, and reads none of them in the list as a restart. Measured: test_late_entry_of_a_former_life_ends_no_run failed for 2 of 4 cases (clock_back) and passes for all.

--- a/hyssopweir/agent_link.py
+++ b/hyssopweir/agent_link.py
@@ -133,6 +133,8 @@
         self._opened_ms = clock.now_ms()
         self._has_lapsed = False
         self.born_ms: Millis = 0
+        # Births of the incarnations that were heard before the current one.
+        self.former_births: set[Millis] = set()
 
     @property
     def entry(self) -> WorkerEntry:
@@ -228,6 +230,8 @@
         now_ms = self._clock.now_ms()
         if lease_reply.born_ms != self.born_ms:
             self._acknowledged = 0
+            if self.born_ms:
+                self.former_births.add(self.born_ms)
             self.born_ms = lease_reply.born_ms
             # Calls that crossed the restart ask for leases on the former clock.
             self._lease_until_ms = min(
--- a/hyssopweir/cell.py
+++ b/hyssopweir/cell.py
@@ -451,8 +451,10 @@
             if link.entry != entry:
                 link.load.entry = entry
                 self.state.wake.set()
-                # An entry may be older than the last reply.
-                if entry.born_ms > link.born_ms > 0:
+                # An entry may be older than the last reply, and a birth later than the
+                # next one if the time of day was set back.
+                is_later = entry.born_ms > link.born_ms > 0
+                if is_later and entry.born_ms not in link.former_births:
                     self._reports.detect_restart(link, entry.born_ms, "list")
         now_ms = self._clock.now_ms()
         for worker_id, link in list(self.state.links.items()):
