--- a/soak/checks.py
+++ b/soak/checks.py
@@ -7,15 +7,16 @@
 from typing import NamedTuple
 
 from soak.events import (
+    FINAL_STATES,
     ConfigurationWritten,
     Life,
     Millis,
     WorkerBegan,
 )
 from soak.history import CONTACT_MS, History, RunHistory, job_of
+from soak.worker import STOP_MS
 
 CANCEL_MS = 3_000
-STOP_MS = 200
 VISIBLE_MS = 3_000
 CONFIG_APPLY_MS = 2_000
 # A start may be on its way while another instance takes note of an end.
@@ -30,7 +31,6 @@
 REJECTED_STATUSES = frozenset({404, 429, 503})
 NOT_FOUND = 404
 GONE = 410
-FINAL_STATES = frozenset({"completed", "failed", "cancelled"})
 
 
 class Breach(NamedTuple):
--- a/soak/clients.py
+++ b/soak/clients.py
@@ -8,7 +8,7 @@
 import aiohttp
 
 from soak.deployment import Deployment
-from soak.events import ClientCall, JobSent
+from soak.events import FINAL_STATES, ClientCall, JobSent
 from soak.instances import Instance
 from soak.proxy import HOST
 from soak.shapes import EXTRA_QUEUE, HOST_NAME, QueueShape, job_body
@@ -23,7 +23,6 @@
 # Share of the accepted jobs that are submitted again afterwards, as a request may be
 # that was held up on its way.
 REPEATED_SHARE = 0.05
-FINAL_STATES = frozenset({"completed", "failed", "cancelled"})
 REJECTED_STATUSES = frozenset({429, 503})
 
 
--- a/soak/events.py
+++ b/soak/events.py
@@ -4,6 +4,8 @@
 from typing import Any, NamedTuple
 
 Millis = float
+# States of jobs that don't change any more.
+FINAL_STATES = frozenset({"completed", "failed", "cancelled"})
 
 
 class RunKey(NamedTuple):
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -19,6 +19,21 @@
 NO_TARGET: Address = (HOST, 0)
 # Versions of configurations increase in uneven steps.
 MAX_VERSION_STEP = 4
+# Shortest and longest durations. Some are shorter and some longer than a lease of 4 s,
+# the three intervals after which an entry expires, and two attempts of a renewal.
+REFUSAL_MS = (500, 3_000)
+LINK_MS = (500, 7_000)
+STORE_MS = (500, 6_000)
+PAUSE_MS = (1_000, 7_000)
+RESTART_MS = (300, 3_000)
+CRASH_MS = (300, 5_000)
+ISOLATION_MS = (1_000, 9_000)
+QUEUE_MS = (3_000, 6_000)
+DELAY_MS = 250
+# Share of the crashes after which the worker has a new id, and of the isolations in
+# which the instances don't reach the worker either.
+NEW_ID_SHARE = 0.4
+CUT_SHARE = 0.6
 
 
 class LinkFaultKind(StrEnum):
@@ -38,8 +53,12 @@
     LinkFaultKind.CUT: LinkState(cuts_requests=True, cuts_replies=True),
     LinkFaultKind.CUT_REQUESTS: LinkState(cuts_requests=True),
     LinkFaultKind.CUT_REPLIES: LinkState(cuts_replies=True),
-    LinkFaultKind.DELAY: LinkState(delay_ms=250),
+    LinkFaultKind.DELAY: LinkState(delay_ms=DELAY_MS),
 }
+# A store that is unreachable in these ways gets no entries of workers either.
+UNREACHABLE_KINDS = frozenset({LinkFaultKind.REFUSE, LinkFaultKind.CUT})
+# Kinds with the durations of ``REFUSAL_MS``.
+REFUSING_KINDS = frozenset({LinkFaultKind.REFUSE, LinkFaultKind.MISROUTE})
 
 
 class WorkerLinkFault(NamedTuple):
@@ -163,23 +182,28 @@
             self._worker = rng.randrange(self._workers)
         match kind:
             case "pause":
-                return Pause(at_ms, rng.uniform(1_000, 7_000), self._instance)
+                return Pause(at_ms, rng.uniform(*PAUSE_MS), self._instance)
             case "kill" | "stop":
-                away_ms = rng.uniform(300, 3_000)
+                away_ms = rng.uniform(*RESTART_MS)
                 return Restart(at_ms, away_ms, self._instance, kind == "stop")
             case "crash":
-                away_ms = rng.uniform(300, 5_000)
-                return WorkerCrash(at_ms, away_ms, self._worker, rng.random() < 0.4)
+                away_ms = rng.uniform(*CRASH_MS)
+                return WorkerCrash(
+                    at_ms, away_ms, self._worker, rng.random() < NEW_ID_SHARE
+                )
             case "isolate":
-                duration_ms, is_cut = rng.uniform(1_000, 9_000), rng.random() < 0.6
+                duration_ms, is_cut = (
+                    rng.uniform(*ISOLATION_MS),
+                    rng.random() < CUT_SHARE,
+                )
                 return Isolation(at_ms, duration_ms, self._worker, is_cut)
             case "config":
-                return QueueChange(at_ms, rng.uniform(3_000, 6_000))
+                return QueueChange(at_ms, rng.uniform(*QUEUE_MS))
             case "store" | "store-down":
                 kinds = [k for k in LinkFaultKind if k != LinkFaultKind.MISROUTE]
                 is_all = kind == "store-down"
                 hit = tuple(range(self._instances)) if is_all else (self._instance,)
-                duration_ms = rng.uniform(500, 6_000)
+                duration_ms = rng.uniform(*STORE_MS)
                 return StoreLinkFault(at_ms, duration_ms, hit, rng.choice(kinds))
         link_kind = LinkFaultKind(kind)
         if link_kind is LinkFaultKind.CUT:
@@ -190,14 +214,8 @@
                     LinkFaultKind.CUT_REPLIES,
                 ]
             )
-        limit_ms = 3_000 if link_kind in REFUSING_KINDS else 7_000
-        return WorkerLinkFault(
-            at_ms, rng.uniform(500, limit_ms), self._worker, link_kind
-        )
-
-
-UNREACHABLE_KINDS = frozenset({LinkFaultKind.REFUSE, LinkFaultKind.CUT})
-REFUSING_KINDS = frozenset({LinkFaultKind.REFUSE, LinkFaultKind.MISROUTE})
+        limits_ms = REFUSAL_MS if link_kind in REFUSING_KINDS else LINK_MS
+        return WorkerLinkFault(at_ms, rng.uniform(*limits_ms), self._worker, link_kind)
 
 
 class Injector:
