--- a/soak/cases.py
+++ b/soak/cases.py
@@ -2,6 +2,7 @@
 
 from typing import NamedTuple
 
+from soak.faults import WEIGHTS
 from soak.runs import RunPlan
 
 
@@ -13,21 +14,7 @@
 
 
 # All kinds at the time of the first cases; a plan depends on the list.
-FIRST_KINDS = (
-    "refuse",
-    "misroute",
-    "silence",
-    "reset",
-    "delay",
-    "cut",
-    "pause",
-    "kill",
-    "stop",
-    "crash",
-    "store",
-    "store-down",
-    "config",
-)
+FIRST_KINDS = tuple(kind for kind in WEIGHTS if kind != "isolate")
 REFUSAL = "a refused connection was taken as the end of the worker's process"
 MISROUTE = "a reply 421 of another worker was taken as the end of the process"
 BOTH = f"{REFUSAL}, or {MISROUTE}"
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -49,12 +49,12 @@
     MISROUTE = "misroute"
 
 
-LINK_STATES = {
+CUT_STATES = {
     LinkFaultKind.CUT: LinkState(cuts_requests=True, cuts_replies=True),
     LinkFaultKind.CUT_REQUESTS: LinkState(cuts_requests=True),
     LinkFaultKind.CUT_REPLIES: LinkState(cuts_replies=True),
-    LinkFaultKind.DELAY: LinkState(delay_ms=DELAY_MS),
 }
+LINK_STATES = {**CUT_STATES, LinkFaultKind.DELAY: LinkState(delay_ms=DELAY_MS)}
 # A store that is unreachable in these ways gets no entries of workers either.
 UNREACHABLE_KINDS = frozenset({LinkFaultKind.REFUSE, LinkFaultKind.CUT})
 # Kinds with the durations of ``REFUSAL_MS``.
@@ -207,13 +207,7 @@
                 return StoreLinkFault(at_ms, duration_ms, hit, rng.choice(kinds))
         link_kind = LinkFaultKind(kind)
         if link_kind is LinkFaultKind.CUT:
-            link_kind = rng.choice(
-                [
-                    LinkFaultKind.CUT,
-                    LinkFaultKind.CUT_REQUESTS,
-                    LinkFaultKind.CUT_REPLIES,
-                ]
-            )
+            link_kind = rng.choice(tuple(CUT_STATES))
         limits_ms = REFUSAL_MS if link_kind in REFUSING_KINDS else LINK_MS
         return WorkerLinkFault(at_ms, rng.uniform(*limits_ms), self._worker, link_kind)
 
--- a/soak/runs.py
+++ b/soak/runs.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 import tempfile
+from collections import Counter
 from collections.abc import Callable
 from pathlib import Path
 from typing import Any, NamedTuple
@@ -60,9 +61,7 @@
     def summary(self) -> str:
         """Return the counts of the run in one line."""
         history = History(self.events)
-        counts: dict[str, int] = {}
-        for breach in self.breaches:
-            counts[breach.rule] = counts.get(breach.rule, 0) + 1
+        counts = dict(Counter(breach.rule for breach in self.breaches))
         return (
             f"seed {self.plan.seed} {self.plan.shape}: {len(history.accepted_ms())}"
             f" jobs, {len(history.runs)} runs, {len(self.faults)} faults,"
