--- a/soak/cases.py
+++ b/soak/cases.py
@@ -32,5 +32,6 @@
     Case(RunPlan(1, "karribank-lw", load=0.5, gap_s=0.5, kinds=FIRST_KINDS), BOTH),
     Case(RunPlan(102, kinds=FIRST_KINDS), ADOPTED_END),
     Case(RunPlan(104), LATE_ORDER),
+    Case(RunPlan(116), ADOPTED_END),
     Case(RunPlan(17, "karribank-lw", load=0.5, gap_s=0.5), ADOPTED_END),
 )
