--- a/tests/cell_simulation.py
+++ b/tests/cell_simulation.py
@@ -99,6 +99,7 @@
         self.faults = RowFaults(seed)
         self.faults.max_value_bytes = MAX_ROW_BYTES
         self.start_count = 0
+        self.is_crashed = False
         self.clock = InstanceClock()
         self.agent = FakeAgent(simulation.workers, self.clock, seed)
         self._tasks: list[asyncio.Task[None]] = []
@@ -106,6 +107,7 @@
 
     def start(self) -> None:
         self.start_count += 1
+        self.is_crashed = False
         store = FakeRowStore(self._simulation.rows, self.clock, self.faults)
         log = EventLog(self.name, "kista", self.clock)
         log.subscribe(self._simulation.records.append)
@@ -143,6 +145,7 @@
             await self.clock.sleep_ms(10)
 
     async def crash(self) -> None:
+        self.is_crashed = True
         for task in self._tasks:
             task.cancel()
         await asyncio.wait(self._tasks)
--- a/tests/test_run_ends.py
+++ b/tests/test_run_ends.py
@@ -1,6 +1,8 @@
 """Runs that go on while their owner has a sign that they are over."""
 
-from collections.abc import Sequence
+import asyncio
+from collections.abc import Awaitable, Callable, Sequence
+from random import Random
 from typing import Any
 
 import pytest
@@ -46,6 +48,9 @@
 LATE_START_MS = 2_500
 # Statuses of a proxy that may have passed the command on.
 PROXY_STATUSES = [500, 502, 504]
+RANDOM_FAULTS = 14
+FAULTS_MS = 20_000
+RANDOM_JOBS = 10
 SEEDS = range(4)
 OTHER_WORKER_ANSWERS = ProxyAnswer(CommandResult.OTHER_LIFE, None)
 
@@ -468,3 +473,98 @@
         assert owner.agent.refused_starts == 0
 
     run_virtual(main())
+
+
+async def refuse_a_while(simulation: CellSimulation, random: Random) -> None:
+    worker = random.choice(list(simulation.workers.values()))
+    results = [CommandResult.NO_LISTENER, CommandResult.OTHER_LIFE]
+    refuse_calls(simulation, worker, random.choice(results))
+    await simulation.sleep_ms(random.randrange(200, 3_500))
+    refuse_calls(simulation, worker, None)
+
+
+async def cut_worker(simulation: CellSimulation, random: Random) -> None:
+    worker = random.choice(list(simulation.workers.values()))
+    worker.is_cut = True
+    await simulation.sleep_ms(random.randrange(200, 6_000))
+    worker.is_cut = False
+
+
+async def cut_worker_from_one(simulation: CellSimulation, random: Random) -> None:
+    agent = random.choice(simulation.instances).agent
+    worker_id = random.choice(list(simulation.workers))
+    agent.cut_workers.add(worker_id)
+    await simulation.sleep_ms(random.randrange(200, 6_000))
+    agent.cut_workers.discard(worker_id)
+
+
+async def delay_commands(simulation: CellSimulation, random: Random) -> None:
+    worker = random.choice(list(simulation.workers.values()))
+    worker.late_share = 0.5
+    await simulation.sleep_ms(random.randrange(500, 3_000))
+    worker.late_share = 0.0
+
+
+async def restart_worker(simulation: CellSimulation, random: Random) -> None:
+    random.choice(list(simulation.workers.values())).restart()
+
+
+async def crash_owner(simulation: CellSimulation, random: Random) -> None:
+    running = [fake for fake in simulation.instances if not fake.is_crashed]
+    owners = [instance for instance in running if instance.owns]
+    if not owners:
+        return
+    instance = owners[0]
+    await instance.crash()
+    await simulation.sleep_ms(random.randrange(50, 3_000))
+    instance.start()
+
+
+async def cut_store(simulation: CellSimulation, random: Random) -> None:
+    instance = random.choice(simulation.instances)
+    instance.faults.is_silent = True
+    await simulation.sleep_ms(random.randrange(500, 12_000))
+    instance.faults.is_silent = False
+
+
+FAULTS: list[Callable[[CellSimulation, Random], Awaitable[None]]] = [
+    refuse_a_while,
+    refuse_a_while,
+    cut_worker,
+    cut_worker_from_one,
+    delay_commands,
+    restart_worker,
+    crash_owner,
+    cut_store,
+]
+
+
+async def inject_random_faults(simulation: CellSimulation, random: Random) -> None:
+    """Inject faults that overlap, for 20 s, and wait until all have ended."""
+    tasks = []
+    for _ in range(RANDOM_FAULTS):
+        fault = random.choice(FAULTS)
+        tasks.append(asyncio.create_task(fault(simulation, random)))
+        await simulation.sleep_ms(FAULTS_MS // RANDOM_FAULTS)
+    await asyncio.gather(*tasks)
+
+
+@pytest.mark.parametrize("seed", range(30))
+def test_random_faults_end_no_run_that_goes_on(seed: int) -> None:
+    """Guards against combinations of refusals and cuts that run tasks twice."""
+
+    async def main() -> None:
+        random = Random(f"run ends {seed}")
+        simulation = CellSimulation(workers=4, seed=seed)
+        await simulation.sleep_ms(1_500)
+        jobs = [f"j{number}" for number in range(RANDOM_JOBS)]
+        for job in jobs:
+            estimated_ms = random.randrange(1_000, 2 * TASK_MS)
+            step = build_step(2, estimated_ms=estimated_ms)
+            assert await simulation.submit(build_workflow(job, step))
+        await inject_random_faults(simulation, random)
+        for job in jobs:
+            assert await simulation.until(job, WorkflowState.COMPLETED, JOB_LIMIT_MS)
+        assert simulation.work.breaches == []
+
+    run_virtual(main())
