--- a/tests/test_run_ends.py
+++ b/tests/test_run_ends.py
@@ -568,3 +568,24 @@
         assert simulation.work.breaches == []
 
     run_virtual(main())
+
+
+@pytest.mark.parametrize("restart_ms", [0, 2, 4, 8])
+def test_start_by_the_clock_of_a_former_life_is_no_second_run(restart_ms: int) -> None:
+    """Guards against a lease that is longer than its owner takes it to be."""
+
+    async def main() -> None:
+        simulation = CellSimulation()
+        await simulation.sleep_ms(1_500)
+        step = build_step(TASKS, estimated_ms=2 * TASK_MS)
+        assert await simulation.submit(build_workflow(JOB, step))
+        await simulation.clock.sleep_ms(restart_ms)
+        worker = simulation.workers["w0"]
+        worker.restart(is_clock_reset=True)
+        await simulation.sleep_ms(600)
+        worker.is_cut = True
+        await simulation.sleep_ms(9_000)
+        worker.is_cut = False
+        await assert_each_task_runs_once(simulation)
+
+    run_virtual(main())
