Count with the longest lease while a worker's process is young

Callers see a task that runs twice. Cause: a renewal or start for a former process of a worker, carried out seconds after its restart, asks for a lease on a clock that was far ahead, and is granted up to holdMaxMs. The bound after the first reply of the new process, and that of a new owner, didn't count with it. Change: leases of a worker whose clock shows less than 12 s, the time in which late calls are expected, are bounded by the longest lease. Measured: test_late_renewal_on_a_restarted_worker_is_waited_for (6 cases) and 2 of 4 of test_successor_waits_for_a_lease_that_crossed_a_restart failed; all pass.

--- a/hyssopweir/agent_link.py
+++ b/hyssopweir/agent_link.py
@@ -41,6 +41,9 @@
 MAX_RETRY_MS: Millis = 200
 # Pause before ended runs that are not stored yet are asked for again.
 UNSTORED_PAUSE_MS: Millis = 500
+# A worker may execute a command without a reply seconds later, after newer commands.
+# The protocol states no bound; no execution is expected after this time.
+MAX_COMMAND_DELAY_MS: Millis = 12_000
 # Another process or none answers at the worker's address. A crash causes them, but so
 # do a proxy, a firewall and a full backlog: they stop new work, and end no run.
 ABSENCE_RESULTS = frozenset({CommandResult.NO_LISTENER, CommandResult.OTHER_LIFE})
@@ -233,12 +236,15 @@
             if self.born_ms:
                 self.former_births.add(self.born_ms)
             self.born_ms = lease_reply.born_ms
-            # Calls that crossed the restart ask for leases on the former clock.
-            self._lease_until_ms = min(
-                self._lease_until_ms, lease_reply.clock_ms + self._times.longest_ms
-            )
+            self._lease_until_ms = 0
         if self._clock_reading is None:
             self._lease_until_ms = lease_reply.clock_ms + self._times.previous_ms
+        if lease_reply.clock_ms < MAX_COMMAND_DELAY_MS:
+            # Late calls for a former process ask for leases on its clock, which was
+            # far ahead of that of the new one.
+            self._lease_until_ms = max(
+                self._lease_until_ms, lease_reply.clock_ms + self._times.longest_ms
+            )
         silent_since = self._clock_reading
         self._clock_reading = ClockReading(lease_reply.clock_ms, now_ms)
         self._has_lapsed = False
--- a/hyssopweir/run_commands.py
+++ b/hyssopweir/run_commands.py
@@ -3,7 +3,7 @@
 import asyncio
 from collections.abc import Iterable, Sequence
 
-from hyssopweir.agent_link import AgentLink
+from hyssopweir.agent_link import MAX_COMMAND_DELAY_MS, AgentLink
 from hyssopweir.agents import CommandResult
 from hyssopweir.background_tasks import BackgroundTasks
 from hyssopweir.cell_state import CellState
@@ -12,9 +12,6 @@
 from hyssopweir.task_state import Run, RunOutcome, RunPhase, RunRef
 
 STOP_RETRY_MS: Millis = 150
-# A worker may execute a command without a reply seconds later, after newer commands.
-# The protocol states no bound; no execution is expected after this time.
-MAX_COMMAND_DELAY_MS: Millis = 12_000
 # A speed that may be overridden by an earlier command is sent again at this interval,
 # shorter than the time for which a task may exceed its tail latency target.
 PACE_REPEAT_MS: Millis = 2_000
