Extend leases soon after an outage of the store

Callers see work lost by an outage of 5.3 s. Cause: leases end 6 s after the last proof of ownership; a heartbeat that a silent store leaves without a reply waited for up to 1.5 s, and the renewals came up to 0.7 s after it. Change: a heartbeat waits for at most 0.5 s, and renewals come every 0.2 s while no full lease can be granted.

--- a/hyssopweir/agent_link.py
+++ b/hyssopweir/agent_link.py
@@ -32,6 +32,8 @@
 # Added to the time after which a lease of another owner counts as expired.
 EXPIRY_MARGIN_MS: Millis = 200
 RENEWAL_WAIT_MS: Millis = 700
+# While no full lease can be granted: the next proof of ownership soon extends it.
+SHORT_RENEWAL_WAIT_MS: Millis = 200
 RENEWAL_TIMEOUT_MS: Millis = 600
 COMMAND_TIMEOUT_MS: Millis = 600
 COMMIT_WAIT_MS: Millis = 300
@@ -213,10 +215,15 @@
             pause_ms = RETRY_MS
             is_first = self._clock_reading is None
             is_stored = await self._process_reply(reply.ok_value, sent_ms)
-            wait_ms = RENEWAL_WAIT_MS if is_stored and not is_first else 0
+            wait_ms = self._renewal_wait_ms() if is_stored and not is_first else 0
             if not is_stored:
                 await self._clock.sleep_ms(UNSTORED_PAUSE_MS)
 
+    def _renewal_wait_ms(self) -> Millis:
+        if self._proof.lease_left_ms() < self._times.lease_ms:
+            return SHORT_RENEWAL_WAIT_MS
+        return RENEWAL_WAIT_MS
+
     def _timeout_ms(self) -> Millis:
         """Return the timeout of a renewal, without its wait for an ended run."""
         if not self._is_silent:
--- a/hyssopweir/cell_heartbeats.py
+++ b/hyssopweir/cell_heartbeats.py
@@ -54,6 +54,8 @@
 # Poll interval while any cell has no owner.
 VACANT_CELL_POLL_MS: Millis = 60
 CALL_TIMEOUT_MS: Millis = 800
+# A heartbeat that waits for a silent store delays the proof of ownership after it.
+MAX_WRITE_TIMEOUT_MS: Millis = 500
 RETRY_MS: Millis = 60
 # Older counts of pending jobs are not reported.
 MAX_QUEUE_COUNT_AGE_MS: Millis = 1_500
@@ -256,7 +258,7 @@
             heartbeat_key(cell), encode_heartbeat(heartbeat), heartbeat.version
         )
         sent_ms = self._clock.now_ms()
-        timeout_ms = self._timer.timeout_ms()
+        timeout_ms = min(self._timer.timeout_ms(), MAX_WRITE_TIMEOUT_MS)
         reply = await self._store.transact([write], timeout_ms)
         self._timer.record_reply(reply, self._clock.now_ms() - sent_ms)
         self._failures_of(cell).record(reply, sent_ms, timeout_ms)
