Slow down stops that are refused, and log the first refusal

Change: after a reply that refuses it, the pause doubles up to 1 s; ORDER_REFUSED has the first verdict. Measured: test_run_ends -k drops_no passes with the slower retries.

--- a/hyssopweir/run_commands.py
+++ b/hyssopweir/run_commands.py
@@ -12,6 +12,8 @@
 from hyssopweir.task_state import Run, RunOutcome, RunPhase, RunRef
 
 STOP_RETRY_MS: Millis = 150
+# Retries of a stop that its worker, or another process, refuses slow down to this.
+MAX_STOP_RETRY_MS: Millis = 1_000
 # A speed that may be overridden by an earlier command is sent again at this interval,
 # shorter than the time for which a task may exceed its tail latency target.
 PACE_REPEAT_MS: Millis = 2_000
@@ -139,6 +141,7 @@
         self._tasks.spawn(self._stop(run, link))
 
     async def _stop(self, run: Run, link: AgentLink) -> None:
+        pause_ms = STOP_RETRY_MS
         while run.ref in link.load.runs:
             result = await link.stop(run.ref)
             if result is CommandResult.ACCEPTED:
@@ -147,7 +150,16 @@
                 return
             if result is CommandResult.FENCED:
                 return
-            await self._state.clock.sleep_ms(STOP_RETRY_MS)
+            if result is not CommandResult.UNKNOWN and pause_ms == STOP_RETRY_MS:
+                self._state.log.emit(
+                    Event.ORDER_REFUSED,
+                    **run.ref.fields(),
+                    worker=run.worker,
+                    verdict=f"stop: {result.value}",
+                )
+            await self._state.clock.sleep_ms(pause_ms)
+            if result is not CommandResult.UNKNOWN:
+                pause_ms = min(2 * pause_ms, MAX_STOP_RETRY_MS)
 
     def close_late_starts(self, link: AgentLink) -> None:
         """Stop the starts that a restarted worker may still receive.
