--- a/tests/test_run_end_review.py
+++ b/tests/test_run_end_review.py
@@ -8,21 +8,29 @@
 from result import Err, Result
 
 from hyssopweir.agents import CommandResult, LeaseReply, WorkerEntry
-from hyssopweir.cell_heartbeats import CellHeartbeats, Heartbeat, HeartbeatResult
+from hyssopweir.cell_heartbeats import (
+    CALL_TIMEOUT_MS,
+    CellHeartbeats,
+    Heartbeat,
+    HeartbeatResult,
+)
 from hyssopweir.clock import Millis
-from hyssopweir.events import Event
-from tests.agent_fakes import FakeWorker
+from hyssopweir.workflow_progress import WorkflowState
+from tests.agent_fakes import FakeWorker, ProxyAnswer
 from tests.cell_simulation import (
     CellSimulation,
     FakeInstance,
     build_step,
     build_workflow,
 )
-from tests.job_checks import events_of
+from tests.test_run_ends import JOB_LIMIT_MS, TASK_MS, result_of_status
 from tests.virtual_time import run_virtual
 
 JOB = "j1"
 TASKS = 8
+OUTAGE_MS: Millis = 5_300
+# Just within the timeout of a read of the heartbeats.
+SLOW_READ_MS: Millis = CALL_TIMEOUT_MS - 10
 
 
 async def start_endless_tasks(
@@ -154,3 +162,97 @@
         assert simulation.work.breaches == []
 
     run_virtual(main())
+
+
+@pytest.mark.parametrize("seed", range(4))
+@pytest.mark.parametrize("cut_after_ms", [1_920, 2_010])
+def test_slow_read_of_a_heartbeat_shortens_no_wait(
+    cut_after_ms: Millis, seed: int
+) -> None:
+    """Guards against silence that counts from before the heartbeat was stored."""
+
+    async def main() -> None:
+        simulation, worker = await start_endless_tasks(seed)
+        owner = simulation.owner()
+        others = [one for one in simulation.instances if one is not owner]
+        for instance in others:
+            instance.agent.cut_workers = {worker.entry.worker_id}
+            instance.faults.latency_ms = SLOW_READ_MS
+        await simulation.sleep_ms(cut_after_ms)
+        owner.agent.cut_workers = set(simulation.workers) - {worker.entry.worker_id}
+        owner.faults.is_silent = True
+        worker.is_listed = False
+        # The reads that are on their way see the last heartbeat.
+        await simulation.sleep_ms(20)
+        for instance in others:
+            instance.faults.latency_ms = 5
+        await simulation.sleep_ms(12_000)
+        assert simulation.work.breaches == []
+
+    run_virtual(main())
+
+
+@pytest.mark.parametrize("seed", range(2))
+def test_late_entry_of_a_former_life_ends_no_run_of_a_new_owner(seed: int) -> None:
+    """Guards against an owner that never heard the process of an old entry."""
+
+    async def main() -> None:
+        simulation, _ = await start_endless_tasks(seed)
+        worker = simulation.workers["w0"]
+        worker.entry = worker.entry._replace(born_ms=5_000)
+        # The time of day was set back before the restart.
+        worker.restart(4_000)
+        await simulation.sleep_ms(3_000)
+        await simulation.owner().crash()
+        await wait_for_claim(simulation, 2)
+        await simulation.sleep_ms(1_000)
+        assert worker.running
+        # A heartbeat of the former process arrives late.
+        worker.entry = worker.entry._replace(machine="m1")
+        await simulation.sleep_ms(3_000)
+        assert simulation.work.breaches == []
+
+    run_virtual(main())
+
+
+@pytest.mark.parametrize("seed", range(2))
+@pytest.mark.parametrize("status", [400, 409, 429, 503])
+def test_answer_of_a_proxy_with_a_status_of_the_worker_starts_no_second_run(
+    status: int, seed: int
+) -> None:
+    """Guards against a refusal by a proxy that has passed the start on."""
+
+    async def main() -> None:
+        simulation = CellSimulation(seed=seed)
+        await simulation.sleep_ms(1_500)
+        answer = ProxyAnswer(await result_of_status(status), 0)
+        for instance in simulation.instances:
+            instance.agent.start_answers["w0"] = [answer] * TASKS
+        step = build_step(TASKS, estimated_ms=TASK_MS)
+        assert await simulation.submit(build_workflow(JOB, step))
+        assert await simulation.until(JOB, WorkflowState.COMPLETED, JOB_LIMIT_MS)
+        await simulation.sleep_ms(5_000)
+        assert simulation.work.breaches == []
+
+    run_virtual(main())
+
+
+@pytest.mark.parametrize("seed", range(2))
+@pytest.mark.parametrize("is_silent", [False, True])
+def test_work_outlasts_an_outage_of_the_store(is_silent: bool, seed: int) -> None:
+    """Guards against leases that end in an outage in which nobody takes over."""
+
+    async def main() -> None:
+        for phase_ms in (0, 130, 310, 520):
+            simulation, _ = await start_endless_tasks(seed)
+            await simulation.sleep_ms(phase_ms)
+            for instance in simulation.instances:
+                instance.faults.is_silent = is_silent
+                instance.faults.is_down = not is_silent
+            await simulation.sleep_ms(OUTAGE_MS)
+            for instance in simulation.instances:
+                instance.faults.is_silent = instance.faults.is_down = False
+            await simulation.sleep_ms(5_000)
+            assert simulation.work.starts == TASKS
+
+    run_virtual(main())
