Count an owner's silence from the reply that showed its last heartbeat

Callers see a task that runs twice. Cause: silence counted from the time at which the read of the last heartbeat was sent, so that a heartbeat stored during a slow read made it too long, and with it the time from which a successor counts the former leases. Change: the silence begins with the reply of that read.

--- a/hyssopweir/cell_heartbeats.py
+++ b/hyssopweir/cell_heartbeats.py
@@ -299,16 +299,22 @@
         self._silent_ms: dict[str, Millis] = {}
 
     def record_heartbeats(
-        self, heartbeats: Mapping[str, Heartbeat], elapsed_ms: Millis
+        self,
+        heartbeats: Mapping[str, Heartbeat],
+        elapsed_ms: Millis,
+        took_ms: Millis = 0,
     ) -> None:
-        """Compare heartbeats with those read ``elapsed_ms`` earlier."""
+        """Compare heartbeats with those read ``elapsed_ms`` earlier.
+
+        The read took ``took_ms``, in which a new heartbeat may have been stored.
+        """
         for cell, heartbeat in heartbeats.items():
             if self._versions.get(cell) == heartbeat.version:
                 silent_ms = self._silent_ms.get(cell, 0)
                 self._silent_ms[cell] = silent_ms + min(elapsed_ms, 2 * SLOW_POLL_MS)
             else:
                 self._versions[cell] = heartbeat.version
-                self._silent_ms[cell] = 0
+                self._silent_ms[cell] = -took_ms
 
     def record_outage(self) -> None:
         """Reset all timers: silence counts only while the store replies."""
--- a/hyssopweir/cell_host.py
+++ b/hyssopweir/cell_host.py
@@ -75,7 +75,8 @@
                     detector.record_outage()
                     await self._clock.sleep_ms(RETRY_MS)
                     continue
-                detector.record_heartbeats(reply.ok_value, sent_ms - read_ms)
+                took_ms = self._clock.now_ms() - sent_ms
+                detector.record_heartbeats(reply.ok_value, sent_ms - read_ms, took_ms)
                 read_ms = sent_ms
                 for cell in self._claimable(layout, heartbeats, detector):
                     if await self._claim(cell, layout, heartbeats, detector):
