Read no entry as a restart that was listed before a worker was first heard

Cause: an owner that never heard a former process can't know its birth, so that an entry of it with a later birth, as a clock was set back, ended the runs of its worker. Change: the birth in the entry that an owner has when it first hears another is a former one.

--- a/hyssopweir/agent_link.py
+++ b/hyssopweir/agent_link.py
@@ -138,7 +138,7 @@
         self._opened_ms = clock.now_ms()
         self._has_lapsed = False
         self.born_ms: Millis = 0
-        # Births of the incarnations that were heard before the current one.
+        # Births of incarnations that were heard or listed before the current one.
         self.former_births: set[Millis] = set()
 
     @property
@@ -240,8 +240,9 @@
         now_ms = self._clock.now_ms()
         if lease_reply.born_ms != self.born_ms:
             self._acknowledged = 0
-            if self.born_ms:
-                self.former_births.add(self.born_ms)
+            # The entry was read before this reply, so that it is of no later process.
+            self.former_births.update({self.born_ms, self.entry.born_ms})
+            self.former_births.discard(lease_reply.born_ms)
             self.born_ms = lease_reply.born_ms
             self._lease_until_ms = 0
         if self._clock_reading is None:
