Count held workers for each service

Workers held for lost endless tasks of one service left fewer, or none, for another one in the same cell, so that short tasks kept its lost tasks away.

Change: only held workers of the same service count against its share.

--- a/hyssopweir/cell_scheduler.py
+++ b/hyssopweir/cell_scheduler.py
@@ -77,12 +77,17 @@
         Otherwise smaller tasks would take each part of its capacity that becomes free.
         """
         workers = self.loads.get(service, ())
-        for load in workers:
-            left = self._held.get(load.entry.worker_id)
-            if left is not None and left.can_fit(step.charge):
-                self._held[load.entry.worker_id] = left.minus(step.charge)
+        held_ids = [
+            load.entry.worker_id
+            for load in workers
+            if load.entry.worker_id in self._held
+        ]
+        for worker_id in held_ids:
+            left = self._held[worker_id]
+            if left.can_fit(step.charge):
+                self._held[worker_id] = left.minus(step.charge)
                 return
-        if len(self._held) >= max(MAX_HELD_SHARE * len(workers), 1):
+        if len(held_ids) >= max(MAX_HELD_SHARE * len(workers), 1):
             return
         candidates = [
             load
