--- a/hyssopweir/agent_link.py
+++ b/hyssopweir/agent_link.py
@@ -32,6 +32,8 @@
 # Added to the time after which a lease of another owner counts as expired.
 EXPIRY_MARGIN_MS: Millis = 200
 RENEWAL_WAIT_MS: Millis = 700
+# While no full lease can be granted: the next proof of ownership soon extends it.
+SHORT_RENEWAL_WAIT_MS: Millis = 200
 RENEWAL_TIMEOUT_MS: Millis = 600
 COMMAND_TIMEOUT_MS: Millis = 600
 COMMIT_WAIT_MS: Millis = 300
@@ -41,6 +43,9 @@
 MAX_RETRY_MS: Millis = 200
 # Pause before ended runs that are not stored yet are asked for again.
 UNSTORED_PAUSE_MS: Millis = 500
+# A worker may execute a command without a reply seconds later, after newer commands.
+# The protocol states no bound; no execution is expected after this time.
+MAX_COMMAND_DELAY_MS: Millis = 12_000
 # Another process or none answers at the worker's address. A crash causes them, but so
 # do a proxy, a firewall and a full backlog: they stop new work, and end no run.
 ABSENCE_RESULTS = frozenset({CommandResult.NO_LISTENER, CommandResult.OTHER_LIFE})
@@ -133,7 +138,7 @@
         self._opened_ms = clock.now_ms()
         self._has_lapsed = False
         self.born_ms: Millis = 0
-        # Births of the incarnations that were heard before the current one.
+        # Births of incarnations that were heard or listed before the current one.
         self.former_births: set[Millis] = set()
 
     @property
@@ -210,10 +215,15 @@
             pause_ms = RETRY_MS
             is_first = self._clock_reading is None
             is_stored = await self._process_reply(reply.ok_value, sent_ms)
-            wait_ms = RENEWAL_WAIT_MS if is_stored and not is_first else 0
+            wait_ms = self._renewal_wait_ms() if is_stored and not is_first else 0
             if not is_stored:
                 await self._clock.sleep_ms(UNSTORED_PAUSE_MS)
 
+    def _renewal_wait_ms(self) -> Millis:
+        if self._proof.lease_left_ms() < self._times.lease_ms:
+            return SHORT_RENEWAL_WAIT_MS
+        return RENEWAL_WAIT_MS
+
     def _timeout_ms(self) -> Millis:
         """Return the timeout of a renewal, without its wait for an ended run."""
         if not self._is_silent:
@@ -230,15 +240,19 @@
         now_ms = self._clock.now_ms()
         if lease_reply.born_ms != self.born_ms:
             self._acknowledged = 0
-            if self.born_ms:
-                self.former_births.add(self.born_ms)
+            # The entry was read before this reply, so that it is of no later process.
+            self.former_births.update({self.born_ms, self.entry.born_ms})
+            self.former_births.discard(lease_reply.born_ms)
             self.born_ms = lease_reply.born_ms
-            # Calls that crossed the restart ask for leases on the former clock.
-            self._lease_until_ms = min(
-                self._lease_until_ms, lease_reply.clock_ms + self._times.longest_ms
-            )
+            self._lease_until_ms = 0
         if self._clock_reading is None:
             self._lease_until_ms = lease_reply.clock_ms + self._times.previous_ms
+        if lease_reply.clock_ms < MAX_COMMAND_DELAY_MS:
+            # Late calls for a former process ask for leases on its clock, which was
+            # far ahead of that of the new one.
+            self._lease_until_ms = max(
+                self._lease_until_ms, lease_reply.clock_ms + self._times.longest_ms
+            )
         silent_since = self._clock_reading
         self._clock_reading = ClockReading(lease_reply.clock_ms, now_ms)
         self._has_lapsed = False
--- a/hyssopweir/cell_heartbeats.py
+++ b/hyssopweir/cell_heartbeats.py
@@ -54,6 +54,8 @@
 # Poll interval while any cell has no owner.
 VACANT_CELL_POLL_MS: Millis = 60
 CALL_TIMEOUT_MS: Millis = 800
+# A heartbeat that waits for a silent store delays the proof of ownership after it.
+MAX_WRITE_TIMEOUT_MS: Millis = 500
 RETRY_MS: Millis = 60
 # Older counts of pending jobs are not reported.
 MAX_QUEUE_COUNT_AGE_MS: Millis = 1_500
@@ -256,7 +258,7 @@
             heartbeat_key(cell), encode_heartbeat(heartbeat), heartbeat.version
         )
         sent_ms = self._clock.now_ms()
-        timeout_ms = self._timer.timeout_ms()
+        timeout_ms = min(self._timer.timeout_ms(), MAX_WRITE_TIMEOUT_MS)
         reply = await self._store.transact([write], timeout_ms)
         self._timer.record_reply(reply, self._clock.now_ms() - sent_ms)
         self._failures_of(cell).record(reply, sent_ms, timeout_ms)
@@ -297,16 +299,22 @@
         self._silent_ms: dict[str, Millis] = {}
 
     def record_heartbeats(
-        self, heartbeats: Mapping[str, Heartbeat], elapsed_ms: Millis
+        self,
+        heartbeats: Mapping[str, Heartbeat],
+        elapsed_ms: Millis,
+        took_ms: Millis = 0,
     ) -> None:
-        """Compare heartbeats with those read ``elapsed_ms`` earlier."""
+        """Compare heartbeats with those read ``elapsed_ms`` earlier.
+
+        The read took ``took_ms``, in which a new heartbeat may have been stored.
+        """
         for cell, heartbeat in heartbeats.items():
             if self._versions.get(cell) == heartbeat.version:
                 silent_ms = self._silent_ms.get(cell, 0)
                 self._silent_ms[cell] = silent_ms + min(elapsed_ms, 2 * SLOW_POLL_MS)
             else:
                 self._versions[cell] = heartbeat.version
-                self._silent_ms[cell] = 0
+                self._silent_ms[cell] = -took_ms
 
     def record_outage(self) -> None:
         """Reset all timers: silence counts only while the store replies."""
