Measure no duration of runs that were adopted

Callers see a job that isn't over after a takeover (LOST). Cause: a successor counted the duration of an adopted run from its own adoption. Change: adopted runs are neither measured nor compared. Measured: test_adopted_runs failed before and passes.

--- a/hyssopweir/stragglers.py
+++ b/hyssopweir/stragglers.py
@@ -81,7 +81,9 @@
 
 
 def _expected_ms(run: Run) -> float | None:
-    """Extrapolate the duration of a run from its progress, None if it is too early."""
+    """Extrapolate the duration of a run from its progress, None if it is unknown."""
+    if run.is_adopted:
+        return None
     # The percentage was current when the report arrived, not now.
     elapsed_ms = run.reported_ms - run.since_ms
     is_measurable = run.phase is RunPhase.RUNNING and run.percent >= MIN_PERCENT
--- a/hyssopweir/task_state.py
+++ b/hyssopweir/task_state.py
@@ -94,6 +94,7 @@
         "changed_ms",
         "settled_ms",
         "listed_born_ms",
+        "is_adopted",
         "is_closed",
     )
 
@@ -120,6 +121,8 @@
         self.settled_ms = now_ms
         # Incarnation of the worker whose list showed the run, 0 before.
         self.listed_born_ms: Millis = 0
+        # A former owner started the run, at a time that isn't known here.
+        self.is_adopted = False
         # No earlier start command for this run can take effect any more.
         self.is_closed = False
 
--- a/hyssopweir/workflow_progress.py
+++ b/hyssopweir/workflow_progress.py
@@ -93,7 +93,7 @@
         self._opened_count = 0
         self._open_occurrences: set[int] = set()
         self._unfinished_tasks: dict[StepKey, int] = {}
-        # Durations of successful runs, in ms.
+        # Durations of successful runs that this owner started, in ms.
         self.done_ms: dict[StepKey, list[float]] = {}
         # Transferred tasks of a job that was set aside; they are still to be cancelled.
         self.orphaned: dict[TaskRef, Task] = {}
@@ -316,7 +316,7 @@
             task.saved = saved
         if outcome is RunOutcome.DONE:
             self._mark_done(ref.task, task)
-            if run is not None:
+            if run is not None and not run.is_adopted:
                 key = (ref.task.occurrence, ref.task.step)
                 self.done_ms.setdefault(key, []).append(now_ms - run.since_ms)
         elif outcome is RunOutcome.FAILED and run is not None:
@@ -483,6 +483,7 @@
             # The fencing token of the new owner invalidates commands of the former one.
             run.is_closed = True
             run.is_pace_known = False
+            run.is_adopted = True
             run.settled_ms = now_ms - 1
             task.runs[number] = run
         if is_done:
