--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,4 +1,4 @@
-"""Pytest options for the soak run with random faults; see ``make soak``."""
+"""Pytest options for the soak run with random faults; see ``make soak-virtual``."""
 
 import pytest
 
