Grant no lease without a recent proof of ownership

Since the bound of a young process is the longest lease, that granted up to 10 s, beyond what a successor waits for (TWICE). Change: it sends no lease, and a start that asks for one is refused as late. Measured: test_owner_without_a_recent_proof_grants_no_lease failed before and passes.

--- a/hyssopweir/agent_link.py
+++ b/hyssopweir/agent_link.py
@@ -147,12 +147,15 @@
         return self.load.entry
 
     def lease_until_ms(self) -> Millis:
-        """Return the expiry of a new lease on the worker's clock, 0 if unknown."""
+        """Return the expiry of a new lease on the worker's clock, 0 for none.
+
+        The bound of former leases isn't one: it may be later than any that was granted.
+        """
         if self._clock_reading is None:
             return 0
         lease_ms = min(self._times.lease_ms, self._proof.lease_left_ms())
         if lease_ms <= 0:
-            return self._lease_until_ms
+            return 0
         passed_ms = self._clock.now_ms() - self._clock_reading.local_ms
         return self._clock_reading.worker_ms + passed_ms + lease_ms
 
--- a/tests/test_run_end_evidence.py
+++ b/tests/test_run_end_evidence.py
@@ -19,7 +19,7 @@
 from hyssopweir.cell_heartbeats import CellHeartbeats, Heartbeat, HeartbeatResult
 from hyssopweir.clock import Clock, Millis
 from hyssopweir.events import Event, EventLog
-from hyssopweir.ownership_proof import OwnershipProof
+from hyssopweir.ownership_proof import PROVEN_LEASE_MS, OwnershipProof
 from hyssopweir.platform.http_agent import HttpAgent
 from hyssopweir.platform.json_http_client import JsonHttpClient
 from hyssopweir.task_state import Run, RunRef, TaskRef
@@ -451,3 +451,34 @@
         assert simulation.work.breaches == []
 
     run_virtual(main())
+
+
+def test_owner_without_a_recent_proof_grants_no_lease() -> None:
+    """Guards against a bound of former leases that is sent as a lease."""
+
+    async def main() -> None:
+        clock = VirtualClock()
+        worker = RestartingWorker(clock)
+        log = EventLog("a", "kista", clock)
+        link = AgentLink(
+            build_entry(),
+            1,
+            cast(Agent, worker),
+            clock,
+            log,
+            lambda *_: None,
+            lambda: None,
+            OwnershipProof("c0", clock, log),
+            lease_times(LONGEST_LEASE_MS),
+            lambda _: None,
+        )
+        renewals = asyncio.ensure_future(link.run())
+        await clock.sleep_ms(PROVEN_LEASE_MS - 500)
+        # Its first replies are those of a young process, whose leases may be long.
+        worker.restart(clock_ms=100)
+        await clock.sleep_ms(1_500)
+        assert link.lease_until_ms() == 0
+        assert worker.lease_left_ms() <= 0
+        renewals.cancel()
+
+    run_virtual(main())
