--- a/tests/test_random_faults.py
+++ b/tests/test_random_faults.py
@@ -1,6 +1,7 @@
 """Guarantees P1 to P9 of complete instances under random load and faults.
 
-``make soak-virtual SEED=… RUNS=…`` runs other seeds for longer. A failure is reproducible with
+``make soak-virtual SEED=… RUNS=…`` runs other seeds for longer. A failure is
+reproducible with
 its seed.
 """
 
