--- a/hyssopweir/agent_link.py
+++ b/hyssopweir/agent_link.py
@@ -256,7 +256,7 @@
             self._lease_until_ms = max(
                 self._lease_until_ms, lease_reply.clock_ms + self._times.longest_ms
             )
-        silent_since = self._clock_reading
+        last_reading = self._clock_reading
         self._clock_reading = ClockReading(lease_reply.clock_ms, now_ms)
         self._has_lapsed = False
         if self._is_silent:
@@ -266,7 +266,7 @@
                 Event.WORKER_HEARD,
                 worker=self.entry.worker_id,
                 born_ms=self.born_ms,
-                silent_ms=now_ms - silent_since.local_ms if silent_since else -1,
+                silent_ms=now_ms - last_reading.local_ms if last_reading else -1,
             )
         ends_stored = self._on_lease_reply(self, lease_reply, sent_ms)
         if ends_stored is None:
--- a/hyssopweir/run_reports.py
+++ b/hyssopweir/run_reports.py
@@ -225,7 +225,7 @@
             **ref.fields(),
             worker=link.entry.worker_id,
             reason=reason,
-            phase=phase.name,
+            phase=phase.value,
             **link.contact_fields(),
         )
         self._state.mark_changed(progress)
