--- a/hyssopweir/run_commands.py
+++ b/hyssopweir/run_commands.py
@@ -169,6 +169,12 @@
         late_starts = self._late_starts.pop(link.entry.worker_id, {})
         for ref, until_ms in late_starts.items():
             if until_ms > self._state.now_ms():
+                self._state.log.emit(
+                    Event.TASK_UNCERTAIN,
+                    **ref.fields(),
+                    worker=link.entry.worker_id,
+                    reason="its worker has restarted",
+                )
                 self._tasks.spawn(self._close_late_start(ref, until_ms, link))
 
     async def _close_late_start(
--- a/tests/test_random_faults.py
+++ b/tests/test_random_faults.py
@@ -1,8 +1,7 @@
 """Guarantees P1 to P9 of complete instances under random load and faults.
 
 ``make soak-virtual SEED=… RUNS=…`` runs other seeds for longer. A failure is
-reproducible with
-its seed.
+reproducible with its seed.
 """
 
 from hyssopweir.clock import Millis
