--- /dev/null
+++ b/review/10/run.sh
@@ -0,0 +1,4 @@
+#!/bin/sh
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+cd "$(dirname "$0")/../.." || exit 2
+PYTHONPATH=target/deps:. exec python3 -m review.10.case
