Bound the workers that a task keeps as failed

Tasks that last have no limit of attempts.

Cause: a task keeps each worker on which it has failed, to be started elsewhere. A task with an end drops them when it is done, an endless one never did. All are stored in the job's progress row; once this exceeded 64 KB the job was set aside as failed. JOB_SET_ASIDE tells it: "the progress takes 65563 bytes".

Change: a task keeps the workers of its last 16 failures. If the row of a wide job would still be too large, fewer of them are stored, none at the last: they only guide placement.

Related paths: the row of a transferred task has the same list.

Tests that call Task.failed_on.add use Task.record_failure now, as it is a list.

--- a/hyssopweir/step_placement.py
+++ b/hyssopweir/step_placement.py
@@ -101,7 +101,7 @@
 
         The chosen worker may get a run of the task before the next call.
         """
-        if not task.failed_on.isdisjoint(self._names):
+        if not self._names.isdisjoint(task.failed_on):
             self._ranked = None
             return choose_worker_for_step(
                 ref, self._step, task, self._workers, self._interference, self._now_ms
--- a/hyssopweir/task_state.py
+++ b/hyssopweir/task_state.py
@@ -8,6 +8,8 @@
 # Separates a job id from a task in the key of a transferred task. It sorts after the
 # suffix of cancellations, so that reads of a job's own rows skip those of its tasks.
 TASK_SEPARATOR = "~"
+# An endless task may fail on any number of workers over its life.
+MAX_FAILED_WORKERS_KEPT = 16
 
 
 class RunPhase(Enum):
@@ -184,7 +186,8 @@
         self.saved = ""
         self.is_done = False
         self.runs: dict[int, Run] = {}
-        self.failed_on: set[str] = set()
+        # Workers of the latest failures, the last one at the end.
+        self.failed_on: list[str] = []
         # Time at which this owner saw the last run end, 0 if it saw none.
         self.idle_since_ms: Millis = 0
         # Another cell runs the task; if it comes back, it has a key of its own.
@@ -192,6 +195,14 @@
         # Set if this cell transferred the task.
         self.transfer: TaskTransfer | None = None
 
+    def record_failure(self, worker: str) -> None:
+        """Record that a run has failed on a worker."""
+        self.failures += 1
+        if worker in self.failed_on:
+            self.failed_on.remove(worker)
+        self.failed_on.append(worker)
+        del self.failed_on[:-MAX_FAILED_WORKERS_KEPT]
+
     def is_unstarted(self) -> bool:
         """Return whether the task has never had a run."""
         return not self.last_run
--- a/hyssopweir/task_transfers.py
+++ b/hyssopweir/task_transfers.py
@@ -370,7 +370,7 @@
         task.last_run,
         task.failures,
         task.saved,
-        tuple(sorted(task.failed_on)),
+        tuple(task.failed_on),
         hops,
     )
     return workflow._replace(home=home, task=transferred)
--- a/hyssopweir/workflow_progress.py
+++ b/hyssopweir/workflow_progress.py
@@ -21,6 +21,7 @@
 )
 from hyssopweir.row_store import MAX_ROW_BYTES
 from hyssopweir.task_state import (
+    MAX_FAILED_WORKERS_KEPT,
     Run,
     RunOutcome,
     RunPhase,
@@ -49,6 +50,9 @@
 MAX_TASKS_BYTES = MAX_ROW_BYTES - 5_000
 ACTIVE_TASK_BYTES = 100
 DONE_TASK_BYTES = 26
+# How many failed workers of each task are stored: the first number with which the row
+# fits. They only guide placement, while a row that is too large would end the job.
+STORED_FAILED_WORKERS = (MAX_FAILED_WORKERS_KEPT, 4, 1, 0)
 # Number of fields of every stored task; a transferred one has its transfer in addition.
 TASK_FIELDS = 7
 
@@ -159,7 +163,7 @@
         task.last_run = transferred.last_run
         task.failures = transferred.failures
         task.saved = transferred.saved
-        task.failed_on = set(transferred.failed_on)
+        task.failed_on = list(transferred.failed_on)
         key = (transferred.occurrence, transferred.step)
         self.tasks[key][transferred.number] = task
         # The job has started in another cell.
@@ -373,8 +377,7 @@
         )
 
     def _record_failure(self, ref: TaskRef, task: Task, run: Run) -> None:
-        task.failures += 1
-        task.failed_on.add(run.worker)
+        task.record_failure(run.worker)
         step = self.workflow.steps[ref.step]
         is_exhausted = task.failures >= self.workflow.most_failures
         if is_exhausted and not step.is_endless and not task.is_done:
@@ -387,9 +390,17 @@
 
     def encode(self, stamp: str) -> bytes:
         """Return the stored form; ``stamp`` identifies the write."""
+        body = b""
+        for failed_workers in STORED_FAILED_WORKERS:
+            body = self._encode(stamp, failed_workers)
+            if len(body) <= MAX_ROW_BYTES:
+                break
+        return body
+
+    def _encode(self, stamp: str, failed_workers: int) -> bytes:
         steps = {
             f"{occurrence}.{number}": [
-                _encode_task(index, task)
+                _encode_task(index, task, failed_workers)
                 for index, task in enumerate(tasks)
                 if task.is_recorded()
             ]
@@ -476,7 +487,7 @@
         _, task.last_run, is_done, task.failures, task.saved, failed_on, runs = (
             stored_task[:TASK_FIELDS]
         )
-        task.failed_on = set(failed_on)
+        task.failed_on = list(failed_on)[-MAX_FAILED_WORKERS_KEPT:]
         for number, worker, born_ms in runs:
             run = Run(RunRef(ref, number), worker, born_ms, now_ms)
             run.phase = RunPhase.UNCERTAIN
@@ -519,8 +530,8 @@
         read_int(hops, "hops", 1)
 
 
-def _encode_task(index: int, task: Task) -> list[Any]:
-    fields = _encode_history(index, task)
+def _encode_task(index: int, task: Task, failed_workers: int) -> list[Any]:
+    fields = _encode_history(index, task, failed_workers)
     if task.transfer is not None:
         transfer = task.transfer
         flags = int(transfer.is_sent), int(transfer.is_settled)
@@ -528,14 +539,15 @@
     return fields
 
 
-def _encode_history(index: int, task: Task) -> list[Any]:
+def _encode_history(index: int, task: Task, failed_workers: int) -> list[Any]:
+    failed_on = [] if task.is_done else task.failed_on
     return [
         index,
         task.last_run,
         int(task.is_done),
         task.failures,
         "" if task.is_done else task.saved,
-        [] if task.is_done else sorted(task.failed_on),
+        failed_on[max(len(failed_on) - failed_workers, 0) :],
         [[run.ref.run, run.worker, run.born_ms] for run in task.runs.values()],
     ]
 
--- a/tests/test_owner_cost.py
+++ b/tests/test_owner_cost.py
@@ -126,7 +126,7 @@
             ref = TaskRef(f"j{number}", 0, 0, index)
             task = Task()
             if random.random() < 0.1:
-                task.failed_on.add(random.choice(loads).entry.worker_id)
+                task.record_failure(random.choice(loads).entry.worker_id)
             expected = choose_worker_for_step(
                 ref, step, task, loads, interference, 3_000
             )
--- a/tests/test_step_placement.py
+++ b/tests/test_step_placement.py
@@ -111,7 +111,7 @@
     first, second = build_load(0), build_load(1)
     add_run(second, build_step(1, room=Resources(4_000, 0)), 0)
     task = Task()
-    task.failed_on.add("w0")
+    task.record_failure("w0")
     step = build_step(1)
     assert (
         choose_worker_for_step(
