Size the runs of a wide job by the ids of its workers

A wide job on workers with long ids is shown as failed.

Cause: a job starts as many tasks at once as fit into its progress row, at 100 bytes a task. That holds for worker ids of 12 characters.

Change: the space of a task is reckoned with the longest id of the cell's workers. With ids of 12 characters the number of runs is as before.

Measured: test_wide_job_with_long_worker_ids_runs_within_its_row (700 tasks, ids of 200 bytes) failed before, JOB_SET_ASIDE "the progress takes 138507 bytes", and passes now.

--- a/hyssopweir/cell_scheduler.py
+++ b/hyssopweir/cell_scheduler.py
@@ -221,7 +221,7 @@
     ) -> Iterator[tuple[Run, AgentLink]]:
         service = progress.workflow.service
         is_changed = False
-        spare_runs = progress.spare_runs()
+        spare_runs = progress.spare_runs(self._state.links)
         rankings: dict[tuple[int, int], WorkerRanking] = {}
         for ref, step, task in waiting:
             if not spare_runs and task.is_unstarted():
--- a/hyssopweir/workflow_progress.py
+++ b/hyssopweir/workflow_progress.py
@@ -5,7 +5,7 @@
 """
 
 import json
-from collections.abc import Iterator, Mapping
+from collections.abc import Iterable, Iterator, Mapping
 from enum import Enum
 from typing import Any, NamedTuple
 
@@ -45,10 +45,11 @@
 MAX_OPEN_OCCURRENCES = 64
 # Builds without this bound may have opened more before their rows were read here.
 MAX_RESTORED_TASKS = 10 * MAX_TASKS
-# Space of a progress row for its tasks, and that of a task with one run, a checkpoint
-# and a failure, and of one that is done.
+# Space of a progress row for its tasks, and that of a task with one run, with the
+# longest worker id and without the id, and of a task that is done.
 MAX_TASKS_BYTES = MAX_ROW_BYTES - 5_000
-ACTIVE_TASK_BYTES = 100
+MAX_ACTIVE_TASK_BYTES = 280
+ACTIVE_TASK_BYTES = 86
 DONE_TASK_BYTES = 26
 # How many failed workers of each task are stored: the first number with which the row
 # fits. They only guide placement, while a row that is too large would end the job.
@@ -258,18 +259,18 @@
             for task in tasks:
                 yield from task.runs.values()
 
-    def spare_runs(self) -> int:
-        """Return how many more runs certainly fit into the progress row."""
+    def spare_runs(self, workers: Iterable[str]) -> int:
+        """Return how many more tasks fit into the row with a run on ``workers``."""
         count = sum(len(tasks) for tasks in self.tasks.values())
-        if count * ACTIVE_TASK_BYTES <= MAX_TASKS_BYTES:
+        if count * MAX_ACTIVE_TASK_BYTES <= MAX_TASKS_BYTES:
             return count
+        longest_id = max((len(json.dumps(worker)) for worker in workers), default=0)
+        active_bytes = ACTIVE_TASK_BYTES + longest_id
         tasks = [task for tasks in self.tasks.values() for task in tasks]
         active = sum(not task.is_done and not task.is_unstarted() for task in tasks)
         done = sum(task.is_done for task in tasks)
-        spare_bytes = (
-            MAX_TASKS_BYTES - active * ACTIVE_TASK_BYTES - done * DONE_TASK_BYTES
-        )
-        return max(spare_bytes // ACTIVE_TASK_BYTES, 0)
+        spare_bytes = MAX_TASKS_BYTES - active * active_bytes - done * DONE_TASK_BYTES
+        return max(spare_bytes // active_bytes, 0)
 
     def transfers(self) -> Iterator[tuple[TaskRef, Task, TaskTransfer]]:
         """Yield the tasks that this cell transferred."""
--- a/tests/test_failure_history.py
+++ b/tests/test_progress_size.py
@@ -1,10 +1,11 @@
-"""Tests of the workers on which a task has failed, as kept and as stored."""
+"""Tests of the size of progress rows, which the store limits."""
 
 import json
 
 import pytest
 
 from hyssopweir.events import Event
+from hyssopweir.resources import Resources
 from hyssopweir.row_store import MAX_ROW_BYTES
 from hyssopweir.task_state import RunOutcome, TaskRef
 from hyssopweir.workflow_progress import WorkflowProgress, WorkflowState
@@ -77,3 +78,22 @@
     assert task.failures == MANY_FAILURES
     assert len(task.failed_on) == kept
     assert task.failed_on[-1:] == [LONGEST_ID.format(MANY_FAILURES - 1)][:kept]
+
+
+def test_wide_job_with_long_worker_ids_runs_within_its_row() -> None:
+    """Guards against a wide job that is failed when its workers have long ids."""
+
+    async def run_scenario() -> None:
+        simulation = CellSimulation(workers=0)
+        for number in range(2):
+            entry = build_entry(number, worker_id=LONGEST_ID.format(number))
+            simulation.add_worker(entry)
+        await simulation.sleep_ms(1_500)
+        step = build_step(700, room=Resources(1, 1), estimated_ms=300)
+        assert await simulation.submit(build_workflow("j1", step))
+        assert await simulation.until("j1", WorkflowState.COMPLETED, 60_000)
+        errors = [record.event for record in simulation.records]
+        assert Event.JOB_SET_ASIDE not in errors
+        assert simulation.work.breaches == []
+
+    run_virtual(run_scenario())
