Eject no worker for failures that don't tell of it

Cause: a worker on which runs of two jobs have failed is ejected for 3, 6, then 12 s. The failure of a task that has been at work for long counted like a failed start; only a run that ends as done reset the count, which lasting tasks never do; and nothing was placed on an ejected worker, even if no other was left.

Change: the failure of a lasting task that has been at work for 2 s doesn't count. One that was started after the last failure and is at work for 2 s resets the count. 3 s after its last failure an ejected worker takes lasting tasks that fit nowhere else, and all work if the service has no other worker left. Pauses after a refused start or a stalled run are kept apart and hold in any case. WORKER_EJECTED of a cell gives the length now.

--- a/hyssopweir/cell_maintenance.py
+++ b/hyssopweir/cell_maintenance.py
@@ -35,7 +35,7 @@
 # A run is stalled after this time without progress, or after a fifth of its estimated
 # time if that is longer.
 STALL_MS: Millis = 2_500
-STALL_EJECTION_MS: Millis = 3_000
+STALL_PAUSE_MS: Millis = 3_000
 
 
 class CellMaintenance:
@@ -231,7 +231,7 @@
                     self._stop_stalled_run(run, link, now_ms)
 
     def _stop_stalled_run(self, run: Run, link: AgentLink, now_ms: Millis) -> None:
-        link.load.eject(now_ms, STALL_EJECTION_MS)
+        link.load.pause(now_ms, STALL_PAUSE_MS)
         self._state.log.emit(
             Event.TASK_STALLED,
             **run.ref.fields(),
--- a/hyssopweir/cell_scheduler.py
+++ b/hyssopweir/cell_scheduler.py
@@ -153,7 +153,9 @@
     def place(self) -> None:
         """Record and start runs for all waiting tasks that fit now."""
         now_ms = self._state.now_ms()
-        current = PlacementPass(self._available_loads(now_ms), now_ms)
+        loads, last_resort = self._available_loads(now_ms)
+        current = PlacementPass(loads, now_ms)
+        last = PlacementPass(last_resort, now_ms)
         new_runs: list[tuple[Run, AgentLink]] = []
         jobs = self._jobs_by_urgency()
         # Lost endless tasks of all jobs go before tasks that have never run.
@@ -161,7 +163,9 @@
             with self._state.guard(progress.key):
                 lost = progress.lost_endless_tasks()
                 new_runs.extend(self._place_tasks(progress, lost, current))
-                for ref, step, task in lost:
+                unplaced = [entry for entry in lost if entry[2].is_waiting()]
+                new_runs.extend(self._place_tasks(progress, unplaced, last))
+                for ref, step, task in unplaced:
                     if task.is_waiting():
                         current.hold_worker(ref, progress.workflow.service, step)
         current.exclude_held()
@@ -206,12 +210,23 @@
                 jobs.append((urgency_key(progress, wall_ms), progress))
         return [progress for _, progress in sorted(jobs, key=itemgetter(0))]
 
-    def _available_loads(self, now_ms: Millis) -> dict[str, list[WorkerLoad]]:
+    def _available_loads(
+        self, now_ms: Millis
+    ) -> tuple[dict[str, list[WorkerLoad]], dict[str, list[WorkerLoad]]]:
+        """Return the workers that accept tasks, and the ejected ones of last resort.
+
+        If a service has no other workers, all its tasks may use those of last resort.
+        """
         loads: dict[str, list[WorkerLoad]] = {}
+        last_resort: dict[str, list[WorkerLoad]] = {}
         for link in self._state.links.values():
             if link.load.accepts_tasks(now_ms):
                 loads.setdefault(link.entry.service, []).append(link.load)
-        return loads
+            elif link.load.is_last_resort(now_ms):
+                last_resort.setdefault(link.entry.service, []).append(link.load)
+        for service in last_resort.keys() - loads.keys():
+            loads[service] = last_resort.pop(service)
+        return loads, last_resort
 
     def _place_tasks(
         self,
@@ -261,8 +276,11 @@
             return
         progress, step, task = found
         now_ms = self._state.now_ms()
-        loads = self._available_loads(now_ms).get(progress.workflow.service, [])
-        candidates = [load for load in loads if load.entry.worker_id != excluded_worker]
+        loads, _ = self._available_loads(now_ms)
+        workers = loads.get(progress.workflow.service, [])
+        candidates = [
+            load for load in workers if load.entry.worker_id != excluded_worker
+        ]
         load = choose_worker_for_step(
             ref, step, task, candidates, self._state.interference_model, now_ms
         )
--- a/hyssopweir/run_commands.py
+++ b/hyssopweir/run_commands.py
@@ -98,7 +98,7 @@
     def _handle_refusal(self, run: Run, link: AgentLink, result: CommandResult) -> None:
         now_ms = self._state.now_ms()
         if result is not CommandResult.FENCED:
-            link.load.eject(now_ms, REFUSAL_PAUSE_MS)
+            link.load.pause(now_ms, REFUSAL_PAUSE_MS)
         self._state.log.emit(
             Event.ORDER_REFUSED,
             **run.ref.fields(),
--- a/hyssopweir/run_reports.py
+++ b/hyssopweir/run_reports.py
@@ -10,6 +10,7 @@
 from hyssopweir.events import Event
 from hyssopweir.run_commands import RunCommands
 from hyssopweir.task_state import Run, RunOutcome, RunPhase, RunRef
+from hyssopweir.worker_load import is_established
 from hyssopweir.workflows import Step
 
 
@@ -129,13 +130,14 @@
         if charged is None:
             self._stop_unknown(link, report)
             return
-        run, _ = charged
+        run, step = charged
         now_ms = self._state.now_ms()
         if report.percent != run.percent:
             run.moved_ms = now_ms
         run.reported_ms = now_ms
         run.percent, run.figure = report.percent, report.figure
         run.born_ms = run.listed_born_ms = born_ms
+        link.load.record_running(run, step, now_ms)
         found = self._state.find(report.ref.task)
         if found is None:
             return
@@ -174,7 +176,7 @@
         if run is None and (was_done or not task.is_done):
             return
         if run is not None:
-            self._record_worker_result(link, end, step)
+            self._record_worker_result(link, end, run, step)
         self._state.log.emit(
             Event.TASK_DONE if end.how is RunOutcome.DONE else Event.TASK_FAILED,
             **end.ref.fields(),
@@ -189,13 +191,22 @@
                 task.runs.values(), "another run of the task is done"
             )
 
-    def _record_worker_result(self, link: AgentLink, end: EndedRun, step: Step) -> None:
+    def _record_worker_result(
+        self, link: AgentLink, end: EndedRun, run: Run, step: Step
+    ) -> None:
+        now_ms = self._state.now_ms()
         if end.how is RunOutcome.DONE:
             link.load.record_success()
-        elif end.how is RunOutcome.FAILED:
-            now_ms = self._state.now_ms()
-            if link.load.record_failure(end.ref.task.job, now_ms):
-                self._state.log.emit(Event.WORKER_EJECTED, worker=link.entry.worker_id)
+        if end.how is not RunOutcome.FAILED or is_established(run, step, now_ms):
+            return
+        ejected_ms = link.load.record_failure(end.ref.task.job, now_ms)
+        if ejected_ms:
+            self._state.log.emit(
+                Event.WORKER_EJECTED,
+                worker=link.entry.worker_id,
+                reason="runs of several jobs failed",
+                ejected_ms=ejected_ms,
+            )
 
     def _expire_missing(
         self, link: AgentLink, reported: set[RunRef], sent_ms: Millis
--- a/hyssopweir/worker_load.py
+++ b/hyssopweir/worker_load.py
@@ -10,6 +10,10 @@
 JOBS_BEFORE_EJECTION = 2
 BASE_EJECTION_MS: Millis = 3_000
 MAX_EJECTION_MS: Millis = 12_000
+# The failure of an endless task that was at work for this time doesn't count against
+# its worker, and failures from before its start no longer count.
+ESTABLISHED_MS: Millis = 2_000
+EJECTED = "ejected"
 # A worker on which a run has failed within this time is used only as a last resort.
 SUSPECT_MS: Millis = 2_500
 # A worker that has not replied for this time gets no new tasks.
@@ -43,6 +47,7 @@
         self.last_report_ms: Millis = 0
         self._failed_jobs: set[str] = set()
         self._ejected_until_ms: Millis = 0
+        self._paused_until_ms: Millis = 0
         self._ejections = 0
         self._last_failure_ms: Millis | None = None
         self.slowdown = 1.0
@@ -126,7 +131,21 @@
             return "leaving"
         if now_ms - self.last_report_ms > REPORT_TIMEOUT_MS:
             return "silent"
-        return "ejected" if now_ms < self._ejected_until_ms else ""
+        if now_ms < self._paused_until_ms:
+            return "paused"
+        return EJECTED if now_ms < self._ejected_until_ms else ""
+
+    def is_last_resort(self, now_ms: Millis) -> bool:
+        """Return whether a task may be placed here that no other worker can take.
+
+        The failures of an ejected worker may stem from the tasks, which would then stay
+        away for as long as the longest ejection.
+        """
+        return (
+            self.exclusion(now_ms) == EJECTED
+            and self._last_failure_ms is not None
+            and now_ms - self._last_failure_ms >= BASE_EJECTION_MS
+        )
 
     def serving_images(self) -> set[str]:
         """Return the images of all tasks with a tail latency target."""
@@ -174,21 +193,39 @@
         self._last_failure_ms = None
         self._ejections = 0
         self._ejected_until_ms = 0
+        self._paused_until_ms = 0
+
+    def record_running(self, run: Run, step: Step, now_ms: Millis) -> None:
+        """Reset the failure history if an endless task has been at work since.
 
-    def record_failure(self, job: str, now_ms: Millis) -> bool:
-        """Record a failed run; return whether it caused an ejection."""
+        Such tasks don't end as done, which resets it otherwise.
+        """
+        if not self._failed_jobs or self._last_failure_ms is None:
+            return
+        if run.since_ms > self._last_failure_ms and is_established(run, step, now_ms):
+            self._failed_jobs.clear()
+            self._ejections = 0
+
+    def record_failure(self, job: str, now_ms: Millis) -> Millis:
+        """Record a failed run; return the length of the ejection it caused, or 0."""
         self._failed_jobs.add(job)
         self._last_failure_ms = now_ms
         if (
             len(self._failed_jobs) < JOBS_BEFORE_EJECTION
             or now_ms < self._ejected_until_ms
         ):
-            return False
-        duration_ms = BASE_EJECTION_MS * 2**self._ejections
-        self._ejected_until_ms = now_ms + min(duration_ms, MAX_EJECTION_MS)
+            return 0
+        duration_ms = min(BASE_EJECTION_MS << self._ejections, MAX_EJECTION_MS)
+        self._ejected_until_ms = now_ms + duration_ms
         self._ejections += 1
-        return True
+        return duration_ms
 
-    def eject(self, now_ms: Millis, duration_ms: Millis) -> None:
+    def pause(self, now_ms: Millis, duration_ms: Millis) -> None:
         """Exclude the worker from placement for at least ``duration_ms``."""
-        self._ejected_until_ms = max(self._ejected_until_ms, now_ms + duration_ms)
+        self._paused_until_ms = max(self._paused_until_ms, now_ms + duration_ms)
+
+
+def is_established(run: Run, step: Step, now_ms: Millis) -> bool:
+    """Return whether a run of an endless task has been at work for a while."""
+    is_old = run.is_adopted or now_ms - run.since_ms >= ESTABLISHED_MS
+    return step.is_endless and run.percent >= 100 and is_old
--- a/tests/test_cell.py
+++ b/tests/test_cell.py
@@ -335,7 +335,7 @@
         task = TaskRef("j1", 0, 0, 0)
         (worker_id,) = simulation.work.live[task]
         links = simulation.owner().host.owned["c0"].state.links
-        links[worker_id].load.eject(simulation.clock.now_ms(), ejected_ms)
+        links[worker_id].load.pause(simulation.clock.now_ms(), ejected_ms)
         simulation.workers[worker_id].fail(task)
         await simulation.sleep_ms(LOST_TASK_LIMIT_MS)
         stream.cancel()
