Wait for the leases that a restarted worker may hold

TASK_LAPSED says "lease has expired" 4.1 s after the last reply; the worker kept the run for 10 s after its start. The log didn't tell the worker's clock; with clock_ms in WORKER_HEARD it does: 7,693,634 before the restart and 5,614,454 after it.

Cause: the lease of a start is an instant on the clock of the process that the owner last heard. A new process takes it for its own and grants as long as it ever does, 10 s. The owner reckoned with that only while the new clock showed less than 12 s, but the clock of a new process starts at any value.

Change: another birth in a reply counts, not the clock. The owner raises its fencing token for that worker, so that its new process refuses all calls that were meant for the former one, and waits for the longest lease from then on. A refusal of its own earlier token costs no ownership. Heartbeats name the workers with such leases, and a successor waits for them too; so it does if it finds runs that were recorded for an earlier birth. Epochs rise by 10,000 to leave tokens between them.

Measured: tests/test_worker_lives.py, 26 of 26 failed before and pass now; the case of test_run_end_evidence with a clock of 100 ms passed before, the two with others failed.

--- a/hyssopweir/agent_link.py
+++ b/hyssopweir/agent_link.py
@@ -15,6 +15,7 @@
 )
 from hyssopweir.clock import Clock, Millis
 from hyssopweir.events import Event, EventLog
+from hyssopweir.fencing import FencingTokens
 from hyssopweir.ownership_proof import PROVEN_LEASE_MS, OwnershipProof
 from hyssopweir.task_state import Run, RunRef
 from hyssopweir.worker_load import WorkerLoad
@@ -57,10 +58,11 @@
     """Length of a lease, and times after which leases of others have expired.
 
     ``longest_ms`` is the longest lease that workers grant, whatever is asked for.
-    ``previous_ms`` bounds a lease that a previous owner may have granted. A worker that
-    never replied to this owner has no lease left after ``unknown_ms``; if it isn't
-    listed any more, after ``unlisted_ms``. Both count from the last proof of ownership
-    of a previous owner.
+    ``previous_ms`` bounds a lease that a previous owner may have granted, unless calls
+    for a former process of the worker may have extended it. A worker that never replied
+    to this owner has no lease left after ``unknown_ms``; if it isn't listed any more,
+    after ``unlisted_ms``. Both count from the last proof of ownership of a previous
+    owner.
     """
 
     lease_ms: Millis
@@ -104,12 +106,14 @@
 
     ``on_lease_reply`` receives each reply with the local time at which its request was
     sent, and returns a future that completes when the ended runs in it are stored.
+    ``may_be_extended`` tells from the worker's birth whether calls of a previous owner
+    for a former process of the worker may have extended its leases.
     """
 
     def __init__(
         self,
         entry: WorkerEntry,
-        token: int,
+        tokens: FencingTokens,
         agent: Agent,
         clock: Clock,
         log: EventLog,
@@ -118,9 +122,11 @@
         proof: OwnershipProof,
         times: LeaseTimes,
         on_lapsed: Callable[["AgentLink"], None],
+        may_be_extended: Callable[[Millis], bool],
     ) -> None:
         self.load = WorkerLoad(entry)
-        self._token = token
+        self._tokens = tokens
+        self._token = tokens.current
         self._agent = agent
         self._clock = clock
         self._log = log
@@ -129,8 +135,14 @@
         self._proof = proof
         self._times = times
         self._on_lapsed = on_lapsed
+        self._may_be_extended = may_be_extended
         self._clock_reading: ClockReading | None = None
+        # Bounds of the leases on the worker's clock: of those that this owner granted
+        # to the current process, and of those that other calls may have given it.
         self._lease_until_ms: Millis = 0
+        self._foreign_until_ms: Millis = 0
+        # Calls for a former process may still be carried out by the current one.
+        self._is_exposed = False
         self._acknowledged = 0
         self._is_silent = False
         # Results of the calls since the worker became silent; each is logged once.
@@ -172,20 +184,31 @@
                 return duration_ms
             since_ms = max(self._opened_ms, former_ms)
         else:
-            lease_ms = self._lease_until_ms - reading.worker_ms
+            until_ms = max(self._lease_until_ms, self._foreign_until_ms)
+            lease_ms = until_ms - reading.worker_ms
             since_ms, duration_ms = reading.local_ms, int(lease_ms / MIN_CLOCK_RATE)
         return since_ms + duration_ms + 1 - self._clock.now_ms()
 
+    def has_long_lease(self) -> bool:
+        """Return whether a successor would take the leases for shorter ones."""
+        if self._clock_reading is None:
+            return False
+        passed_ms = self._clock.now_ms() - self._clock_reading.local_ms
+        left_ms = self._foreign_until_ms - self._clock_reading.worker_ms - passed_ms
+        return left_ms > self._times.lease_ms
+
     def contact_fields(self) -> dict[str, Any]:
         """Return the event fields that tell how sure it is that the worker is lost.
 
-        ``heard_ms`` is the age of its last reply, -1 without one; ``lease_left_ms`` is
-        the time until its leases have certainly expired.
+        ``heard_ms`` is the age of its last reply and ``clock_ms`` the worker's clock in
+        it, both -1 without one; ``lease_left_ms`` is the time until its leases have
+        certainly expired.
         """
         reading = self._clock_reading
         heard_ms = -1 if reading is None else self._clock.now_ms() - reading.local_ms
         return {
             "born_ms": self.born_ms,
+            "clock_ms": -1 if reading is None else reading.worker_ms,
             "heard_ms": heard_ms,
             "lease_left_ms": self._lapses_in_ms(),
         }
@@ -200,9 +223,10 @@
             # no further renewal, or its lease would never be certain to expire.
             lease_until_ms = None if self._is_silent else self.lease_until_ms() or None
             self._lease_until_ms = max(self._lease_until_ms, lease_until_ms or 0)
+            token = self._token
             reply = await self._agent.renew_leases(
                 self.entry,
-                self._token,
+                token,
                 # The worker may have restarted since and numbered its ends anew.
                 0 if self._is_silent else self._acknowledged,
                 lease_until_ms,
@@ -217,8 +241,10 @@
                 continue
             pause_ms = RETRY_MS
             is_first = self._clock_reading is None
-            is_stored = await self._process_reply(reply.ok_value, sent_ms)
-            wait_ms = self._renewal_wait_ms() if is_stored and not is_first else 0
+            is_stored = await self._process_reply(reply.ok_value, sent_ms, token)
+            # The sooner the next call arrives, the fewer calls for a former process do.
+            may_wait = is_stored and not is_first and not self._is_exposed
+            wait_ms = self._renewal_wait_ms() if may_wait else 0
             if not is_stored:
                 await self._clock.sleep_ms(UNSTORED_PAUSE_MS)
 
@@ -238,24 +264,31 @@
         left_ms = self._lapses_in_ms()
         return min(limit_ms, left_ms) if left_ms > 0 else limit_ms
 
-    async def _process_reply(self, lease_reply: LeaseReply, sent_ms: Millis) -> bool:
+    async def _process_reply(
+        self, lease_reply: LeaseReply, sent_ms: Millis, token: int
+    ) -> bool:
         """Process a lease reply; return whether all ended runs in it are stored."""
         now_ms = self._clock.now_ms()
-        if lease_reply.born_ms != self.born_ms:
+        is_first = self._clock_reading is None
+        is_new_process = lease_reply.born_ms != self.born_ms
+        if is_new_process:
             self._acknowledged = 0
             # The entry was read before this reply, so that it is of no later process.
             self.former_births.update({self.born_ms, self.entry.born_ms})
             self.former_births.discard(lease_reply.born_ms)
             self.born_ms = lease_reply.born_ms
             self._lease_until_ms = 0
-        if self._clock_reading is None:
-            self._lease_until_ms = lease_reply.clock_ms + self._times.previous_ms
-        if lease_reply.clock_ms < MAX_COMMAND_DELAY_MS:
-            # Late calls for a former process ask for leases on its clock, which was
-            # far ahead of that of the new one.
-            self._lease_until_ms = max(
-                self._lease_until_ms, lease_reply.clock_ms + self._times.longest_ms
-            )
+        if is_first:
+            is_extended = self._may_be_extended(self.born_ms)
+            times = self._times
+            lease_ms = times.longest_ms if is_extended else times.previous_ms
+            self._foreign_until_ms = lease_reply.clock_ms + lease_ms
+        elif is_new_process:
+            self._expose(lease_reply.clock_ms)
+        elif self._is_exposed and token == self._token:
+            # The worker has seen the raised token, so that nothing is added any more.
+            self._is_exposed = False
+            self._foreign_until_ms = lease_reply.clock_ms + self._times.longest_ms
         last_reading = self._clock_reading
         self._clock_reading = ClockReading(lease_reply.clock_ms, now_ms)
         self._has_lapsed = False
@@ -266,6 +299,7 @@
                 Event.WORKER_HEARD,
                 worker=self.entry.worker_id,
                 born_ms=self.born_ms,
+                clock_ms=lease_reply.clock_ms,
                 silent_ms=now_ms - last_reading.local_ms if last_reading else -1,
             )
         ends_stored = self._on_lease_reply(self, lease_reply, sent_ms)
@@ -279,9 +313,32 @@
             self._acknowledged = last
         return True
 
+    def _expose(self, clock_ms: Millis) -> None:
+        """Raise the token, as calls for the former process may still be on their way.
+
+        They ask for leases on the clock of that process, which may be far ahead of that
+        of the new one.
+        """
+        self._foreign_until_ms = (
+            clock_ms + MAX_COMMAND_DELAY_MS + self._times.longest_ms
+        )
+        self._is_exposed = self._tokens.advance()
+        self._token = self._tokens.current
+
+    def _check_fenced(self, result: CommandResult, token: int) -> CommandResult:
+        """Report the loss of ownership if a worker refused a call for its token.
+
+        A call from before the token was raised was meant for a former process.
+        """
+        if result is not CommandResult.FENCED:
+            return result
+        if token != self._token:
+            return CommandResult.OTHER_LIFE
+        self._on_fenced()
+        return result
+
     def _handle_renewal_error(self, result: CommandResult) -> None:
-        if result is CommandResult.FENCED:
-            self._on_fenced()
+        if self._check_fenced(result, self._token) is CommandResult.FENCED:
             return
         self._is_silent = True
         if result not in self._silent_results:
@@ -312,22 +369,18 @@
         lease_until_ms = self.lease_until_ms()
         self._lease_until_ms = max(self._lease_until_ms, lease_until_ms)
         run.record_start_sent(self._clock.now_ms())
-        command = StartCommand(run.ref, payload, lease_until_ms, self._token, saved)
+        token = self._token
+        command = StartCommand(run.ref, payload, lease_until_ms, token, saved)
         result = await self._agent.start(self.entry, command, COMMAND_TIMEOUT_MS)
         run.settled_ms = self._clock.now_ms()
-        if result is CommandResult.FENCED:
-            self._on_fenced()
-        return result
+        return self._check_fenced(result, token)
 
     async def stop(self, ref: RunRef) -> CommandResult:
         """Stop a run, or prevent it from starting later."""
         await self._proof.wait_valid()
-        result = await self._agent.stop(
-            self.entry, ref, self._token, COMMAND_TIMEOUT_MS
-        )
-        if result is CommandResult.FENCED:
-            self._on_fenced()
-        return result
+        token = self._token
+        result = await self._agent.stop(self.entry, ref, token, COMMAND_TIMEOUT_MS)
+        return self._check_fenced(result, token)
 
     async def pace(self, run: Run, percent: int) -> CommandResult:
         """Limit a run to a percentage of its full speed."""
--- a/hyssopweir/cell.py
+++ b/hyssopweir/cell.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Mapping
 from contextlib import suppress
+from functools import partial
 from typing import NamedTuple
 
 from result import Err
@@ -26,6 +27,7 @@
 from hyssopweir.clock import Clock, Millis
 from hyssopweir.codes import Code
 from hyssopweir.events import Event, EventLog
+from hyssopweir.fencing import FencingTokens
 from hyssopweir.input_bounds import (
     PARSE_ERRORS,
     InputError,
@@ -125,6 +127,7 @@
         self._log = log
         self.state = CellState(name, claim.grant.epoch, clock, log)
         self._proof = OwnershipProof(name, clock, log)
+        self._tokens = FencingTokens(claim.grant.epoch)
         self.state.commits = RowCommits(
             store,
             claim.grant.guard,
@@ -263,8 +266,44 @@
             ),
             self._heartbeat_version,
             reclaimable_capacity(self.state) if self._has_other_cells else {},
+            self._long_leases(),
         )
 
+    def _long_leases(self) -> tuple[str, ...]:
+        """Return the workers with leases that a successor would take for shorter."""
+        known = [
+            worker_id
+            for worker_id, link in self.state.links.items()
+            if link.has_long_lease()
+        ]
+        if not self._claim.previous_heartbeat or self._have_former_leases_ended():
+            return tuple(known)
+        unheard = (
+            worker_id
+            for worker_id in self._claim.previous_heartbeat.long_leases
+            if not self._has_reported(worker_id)
+        )
+        return tuple(dict.fromkeys([*known, *unheard]))
+
+    def _have_former_leases_ended(self) -> bool:
+        """Return whether all leases that former owners granted have expired."""
+        former_ms = self._proof.former_ms
+        if former_ms is None:
+            return False
+        return self._clock.now_ms() - former_ms > self._times.unknown_ms
+
+    def _may_be_extended(self, worker_id: str, born_ms: Millis) -> bool:
+        """Return whether calls for a former process may have extended its leases.
+
+        The former owner tells so in its heartbeat if it knew of the restart. Otherwise
+        it recorded the runs that it started since with the earlier birth.
+        """
+        former = self._claim.previous_heartbeat
+        if former is not None and worker_id in former.long_leases:
+            return True
+        runs = self.state.runs_on(worker_id)
+        return born_ms > 0 and any(run.born_ms != born_ms for run in runs)
+
     async def _await_loss(self) -> None:
         await self._ownership_lost.wait()
         raise OwnershipLostError
@@ -473,7 +512,7 @@
     def _open_link(self, entry: WorkerEntry) -> None:
         link = AgentLink(
             entry,
-            self.state.epoch,
+            self._tokens,
             self._agent,
             self._clock,
             self._log,
@@ -482,6 +521,7 @@
             self._proof,
             self._times,
             lambda link: self._reports.lapse_all(link, "lease has expired"),
+            partial(self._may_be_extended, entry.worker_id),
         )
         self.state.links[entry.worker_id] = link
         loop = asyncio.get_running_loop()
@@ -527,7 +567,12 @@
             if run.worker not in entries and not self._has_reported(run.worker)
         }
         for worker_id in silent_workers:
-            self._reports.lapse_unlisted(worker_id)
+            link = self.state.links.get(worker_id)
+            listed_born_ms = link.entry.born_ms if link is not None else 0
+            if self._have_former_leases_ended() or not self._may_be_extended(
+                worker_id, listed_born_ms
+            ):
+                self._reports.lapse_unlisted(worker_id)
 
     def _has_reported(self, worker_id: str) -> bool:
         link = self.state.links.get(worker_id)
--- a/hyssopweir/cell_heartbeats.py
+++ b/hyssopweir/cell_heartbeats.py
@@ -90,6 +90,7 @@
     ``life`` identifies one process lifetime of the instance. ``queues`` counts the
     pending jobs of each queue. ``reclaimable`` lists by service capacities of workers
     once all tasks that end have ended, of which one fits whatever fits any.
+    ``long_leases`` names workers with leases that a successor would take for shorter.
     """
 
     instance: str
@@ -101,6 +102,7 @@
     queues: Mapping[str, int] = {}
     version: int = ABSENT
     reclaimable: Mapping[str, tuple[Resources, ...]] = {}
+    long_leases: tuple[str, ...] = ()
 
 
 class HeartbeatResult(NamedTuple):
@@ -144,6 +146,7 @@
     rooms = read_map(data.get("rooms"), "rooms", MAX_LISTED)
     queues = read_map(data.get("queues", {}), "queues", MAX_LISTED)
     reclaimable = read_map(data.get("reclaimable", {}), "reclaimable", MAX_LISTED)
+    long_leases = read_list(data.get("long_leases", []), "long_leases", MAX_LISTED)
     return Heartbeat(
         read_text(data.get("instance"), "instance"),
         read_text(data.get("life"), "life"),
@@ -160,6 +163,7 @@
             read_text(service, "service"): _read_amounts(amounts, "reclaimable")
             for service, amounts in reclaimable.items()
         },
+        tuple(read_text(worker, "worker") for worker in long_leases),
     )
 
 
--- a/hyssopweir/cell_ownership.py
+++ b/hyssopweir/cell_ownership.py
@@ -14,6 +14,7 @@
 from hyssopweir.cell_heartbeats import CALL_TIMEOUT_MS, TAKEOVER_MS, Heartbeat
 from hyssopweir.clock import Clock, Millis
 from hyssopweir.events import Event, EventLog
+from hyssopweir.fencing import TOKENS_PER_EPOCH
 from hyssopweir.input_bounds import (
     FaultLog,
     parse_bounded_json,
@@ -87,15 +88,15 @@
     ) -> OwnershipGrant | None:
         """Replace the owner that wrote ``heartbeat``; return None if the claim failed.
 
-        Each claim increments the epoch, even if the same instance owned the cell
-        before, so that workers reject commands sent under earlier epochs.
+        Each claim raises the epoch, even if the same instance owned the cell before, so
+        that workers reject commands sent under earlier epochs.
         """
         owner = await self._read()
         if owner is None:
             return None
         if self._is_claimed_by_other(owner, heartbeat):
             return None
-        epoch = owner.epoch + 1
+        epoch = owner.epoch + TOKENS_PER_EPOCH
         write = Write(self.owner_key, self._encode(epoch, False), owner.version)
         sent_ms = self._clock.now_ms()
         reply = await self._store.transact([write], CALL_TIMEOUT_MS)
--- a/tests/agent_fakes.py
+++ b/tests/agent_fakes.py
@@ -97,15 +97,15 @@
         self.restart()
 
     def restart(
-        self, born_ms: Millis | None = None, is_clock_reset: bool = False
+        self, born_ms: Millis | None = None, clock_ms: Millis | None = None
     ) -> None:
         """Lose all runs, and start a new life under the same id."""
         for ref in getattr(self, "running", {}):
             self._work.live.get(ref.task, set()).discard(self.entry.worker_id)
         self.lives += 1
         self.born_ms = self.lives if born_ms is None else born_ms
-        if is_clock_reset:
-            self.clock_start_ms = self._clock.now_ms()
+        if clock_ms is not None:
+            self.clock_start_ms = self._clock.now_ms() - clock_ms
         self.token = 0
         self.lease_ms = 0
         self.running: dict[RunRef, LiveRun] = {}
--- a/tests/test_run_end_evidence.py
+++ b/tests/test_run_end_evidence.py
@@ -19,6 +19,7 @@
 from hyssopweir.cell_heartbeats import CellHeartbeats, Heartbeat, HeartbeatResult
 from hyssopweir.clock import Clock, Millis
 from hyssopweir.events import Event, EventLog
+from hyssopweir.fencing import TOKENS_PER_EPOCH, FencingTokens
 from hyssopweir.ownership_proof import PROVEN_LEASE_MS, OwnershipProof
 from hyssopweir.platform.http_agent import HttpAgent
 from hyssopweir.platform.json_http_client import JsonHttpClient
@@ -190,7 +191,7 @@
         async def delay_first_write(
             self: CellHeartbeats, cell: str, heartbeat: Heartbeat
         ) -> HeartbeatResult:
-            if heartbeat.epoch == 2 and heartbeat.number == 1:
+            if heartbeat.epoch == 2 * TOKENS_PER_EPOCH and heartbeat.number == 1:
                 await simulation.clock.sleep_ms(2_500)
             return await write(self, cell, heartbeat)
 
@@ -403,8 +404,12 @@
         return Ok(LeaseReply(self._worker_ms(), self._lives, [], []))
 
 
-def test_lease_that_a_start_gave_to_a_new_life_is_waited_for() -> None:
-    """Guards against a lease end computed from the clock of a former life."""
+@pytest.mark.parametrize("clock_ms", [100, 100_000, 399_000])
+def test_lease_that_a_start_gave_to_a_new_life_is_waited_for(clock_ms: Millis) -> None:
+    """Guards against a lease end computed from the clock of a former life.
+
+    The clock of the new one starts at any value.
+    """
 
     async def main() -> None:
         clock = VirtualClock()
@@ -413,7 +418,7 @@
         left_ms: list[Millis] = []
         link = AgentLink(
             build_entry(),
-            1,
+            FencingTokens(1),
             cast(Agent, worker),
             clock,
             log,
@@ -422,10 +427,11 @@
             OwnershipProof("c0", clock, log),
             lease_times(LONGEST_LEASE_MS),
             lambda _: left_ms.append(worker.lease_left_ms()),
+            lambda _: False,
         )
         renewals = asyncio.ensure_future(link.run())
         await clock.sleep_ms(2_000)
-        worker.restart(clock_ms=100)
+        worker.restart(clock_ms)
         run = Run(REF, "w0", 0, clock.now_ms())
         assert await link.start(run, "paint", "") is CommandResult.ACCEPTED
         await clock.sleep_ms(3_000)
@@ -462,7 +468,7 @@
         log = EventLog("a", "kista", clock)
         link = AgentLink(
             build_entry(),
-            1,
+            FencingTokens(1),
             cast(Agent, worker),
             clock,
             log,
@@ -471,6 +477,7 @@
             OwnershipProof("c0", clock, log),
             lease_times(LONGEST_LEASE_MS),
             lambda _: None,
+            lambda _: False,
         )
         renewals = asyncio.ensure_future(link.run())
         await clock.sleep_ms(PROVEN_LEASE_MS - 500)
--- a/tests/test_run_end_review.py
+++ b/tests/test_run_end_review.py
@@ -15,6 +15,7 @@
     HeartbeatResult,
 )
 from hyssopweir.clock import Millis
+from hyssopweir.fencing import TOKENS_PER_EPOCH
 from hyssopweir.workflow_progress import WorkflowState
 from tests.agent_fakes import FakeWorker, ProxyAnswer
 from tests.cell_simulation import (
@@ -67,7 +68,7 @@
     async def lose_heartbeats(
         self: CellHeartbeats, cell: str, heartbeat: Heartbeat
     ) -> HeartbeatResult:
-        if heartbeat.epoch == 2:
+        if heartbeat.epoch == 2 * TOKENS_PER_EPOCH:
             await asyncio.sleep(0.5)
             return HeartbeatResult(False, heartbeat.version)
         return await write(self, cell, heartbeat)
@@ -76,7 +77,7 @@
         simulation, worker = await start_endless_tasks(seed)
         monkeypatch.setattr(CellHeartbeats, "write", lose_heartbeats)
         await simulation.owner().crash()
-        second = await wait_for_claim(simulation, 2)
+        second = await wait_for_claim(simulation, 2 * TOKENS_PER_EPOCH)
         # It recovers the cell and hears the workers.
         await simulation.sleep_ms(500)
         second.faults.is_silent = True
@@ -129,7 +130,7 @@
         worker = simulation.workers["w0"]
         delay_next_renewal(simulation, late_ms)
         await simulation.sleep_ms(900)
-        worker.restart(is_clock_reset=True)
+        worker.restart(clock_ms=0)
         await simulation.sleep_ms(late_ms - 700)
         assert worker.running
         worker.is_cut = True
@@ -152,10 +153,10 @@
         # The renewal that the restart overtakes is carried out by the next process.
         delay_next_renewal(simulation, 1_000)
         await simulation.sleep_ms(950)
-        worker.restart(is_clock_reset=True)
+        worker.restart(clock_ms=0)
         await simulation.sleep_ms(300)
         await owner.crash()
-        await wait_for_claim(simulation, 2)
+        await wait_for_claim(simulation, 2 * TOKENS_PER_EPOCH)
         await simulation.sleep_ms(heard_ms)
         worker.is_cut = True
         await simulation.sleep_ms(15_000)
@@ -204,7 +205,7 @@
         worker.restart(4_000)
         await simulation.sleep_ms(3_000)
         await simulation.owner().crash()
-        await wait_for_claim(simulation, 2)
+        await wait_for_claim(simulation, 2 * TOKENS_PER_EPOCH)
         await simulation.sleep_ms(1_000)
         assert worker.running
         # A heartbeat of the former process arrives late.
--- a/tests/test_run_ends.py
+++ b/tests/test_run_ends.py
@@ -436,7 +436,7 @@
         # The stop is confirmed, and the task starts elsewhere.
         await simulation.sleep_ms(1_500)
         for worker in simulation.workers.values():
-            worker.restart(is_clock_reset=is_clock_reset)
+            worker.restart(clock_ms=0 if is_clock_reset else None)
         await assert_each_task_runs_once(simulation)
 
     run_virtual(main())
@@ -608,7 +608,7 @@
         assert await simulation.submit(build_workflow(JOB, step))
         await simulation.clock.sleep_ms(restart_ms)
         worker = simulation.workers["w0"]
-        worker.restart(is_clock_reset=True)
+        worker.restart(clock_ms=0)
         await simulation.sleep_ms(600)
         worker.is_cut = True
         await simulation.sleep_ms(9_000)
--- /dev/null
+++ b/tests/test_worker_lives.py
@@ -0,0 +1,139 @@
+"""Tests of workers that start again under the id that they had.
+
+A call for the former process is an ordinary one to the new process, whose clock starts
+at any value: the call may give it a lease for as long as workers grant any.
+"""
+
+import asyncio
+from random import Random
+from typing import Any, cast
+
+import pytest
+
+from hyssopweir.agents import CommandResult, LeaseReply, StartCommand, WorkerEntry
+from hyssopweir.clock import Millis
+from hyssopweir.resources import Resources
+from hyssopweir.workflow_progress import WorkflowState
+from tests.agent_fakes import FakeWorker
+from tests.cell_simulation import CellSimulation, build_step, build_workflow
+from tests.virtual_time import run_virtual
+
+FORMER_CLOCK_MS: Millis = 400_000
+DARK_MS: Millis = 600
+CUT_MS: Millis = 9_000
+# The store removes the entry of a silent worker after three heartbeats.
+LISTED_MS: Millis = 3_300
+# By then the owner has heard a worker that is back in reach.
+HEARD_MS: Millis = 1_500
+
+
+async def submit_jobs(simulation: CellSimulation, seed: int) -> None:
+    """Submit a job of one long task every few milliseconds."""
+    random = Random(seed)
+    for number in range(150):
+        step = build_step(1, room=Resources(100, 100), estimated_ms=14_000)
+        await simulation.submit(build_workflow(f"j{number}", step), 1)
+        await simulation.clock.sleep_ms(random.randint(1, 30))
+
+
+async def restart(worker: FakeWorker, simulation: CellSimulation, seed: int) -> None:
+    """Let a worker crash without a sign, and start again under its id."""
+    worker.is_cut = True
+    await simulation.sleep_ms(DARK_MS)
+    clock_ms = Random(seed).randrange(FORMER_CLOCK_MS)
+    worker.restart(simulation.clock.wall_ms(), clock_ms)
+    worker.entry = worker.entry._replace(born_ms=worker.born_ms)
+    worker.is_cut = False
+
+
+async def build_simulation(seed: int) -> CellSimulation:
+    simulation = CellSimulation(workers=4, seed=seed)
+    for worker in simulation.workers.values():
+        worker.restart(simulation.clock.wall_ms(), FORMER_CLOCK_MS)
+        worker.entry = worker.entry._replace(born_ms=worker.born_ms)
+    await simulation.sleep_ms(1_500)
+    return simulation
+
+
+@pytest.mark.parametrize("seed", range(8))
+@pytest.mark.parametrize("takeover_ms", [None, 100, 1_000])
+def test_restarted_worker_that_is_cut_off_runs_no_task_beside_another(
+    takeover_ms: Millis | None, seed: int
+) -> None:
+    """Guards against a second run beside one whose lease lasts longer than expected.
+
+    The owner dies between the restart and the cut, or lives on.
+    """
+
+    async def run_scenario() -> None:
+        simulation = await build_simulation(seed)
+        worker = simulation.workers["w0"]
+        jobs = asyncio.ensure_future(submit_jobs(simulation, seed))
+        await simulation.sleep_ms(500)
+        await restart(worker, simulation, seed)
+        if takeover_ms is not None:
+            await simulation.sleep_ms(takeover_ms)
+            await simulation.owner().crash()
+            await simulation.sleep_ms(400)
+        else:
+            await simulation.sleep_ms(1_500)
+        worker.is_cut = True
+        await simulation.sleep_ms(LISTED_MS)
+        worker.is_listed = False
+        await simulation.sleep_ms(CUT_MS - LISTED_MS)
+        worker.is_cut, worker.is_listed = False, True
+        await simulation.sleep_ms(8_000)
+        await jobs
+        assert simulation.work.breaches == []
+
+    run_virtual(run_scenario())
+
+
+def test_late_renewal_for_a_former_process_has_no_effect() -> None:
+    """Guards against leases and acknowledgements that the former process should get."""
+
+    async def run_scenario() -> None:
+        simulation = await build_simulation(0)
+        worker = simulation.workers["w0"]
+        token = worker.token
+        await restart(worker, simulation, 0)
+        await simulation.sleep_ms(HEARD_MS)
+        late = worker.renew_leases(token, 99, FORMER_CLOCK_MS + 20_000)
+        assert late is CommandResult.FENCED
+        reply = worker.renew_leases(worker.token, 0, None)
+        assert isinstance(reply, LeaseReply)
+
+    run_virtual(run_scenario())
+
+
+def test_start_that_a_restarted_worker_refuses_ends_no_ownership() -> None:
+    """Guards against an owner that gives its cell up for its own earlier token."""
+
+    async def run_scenario() -> None:
+        simulation = await build_simulation(0)
+        owner = simulation.owner()
+        start = owner.agent.start
+        delayed: list[StartCommand] = []
+        results: list[CommandResult] = []
+
+        async def start_late(
+            worker: WorkerEntry, command: StartCommand, timeout_ms: Millis
+        ) -> CommandResult:
+            if worker.worker_id != "w0" or delayed:
+                return await start(worker, command, timeout_ms)
+            delayed.append(command)
+            await restart(simulation.workers["w0"], simulation, 0)
+            await simulation.sleep_ms(HEARD_MS)
+            results.append(await start(worker, command, timeout_ms))
+            return results[0]
+
+        cast(Any, owner.agent).start = start_late
+        epoch = owner.host.owned["c0"].state.epoch
+        step = build_step(8, estimated_ms=100)
+        assert await simulation.submit(build_workflow("j1", step))
+        assert await simulation.until("j1", WorkflowState.COMPLETED, 10_000)
+        assert results == [CommandResult.FENCED]
+        assert owner.host.owned["c0"].state.epoch == epoch
+        assert simulation.work.breaches == []
+
+    run_virtual(run_scenario())
