Notice a restart by the clock in the reply to a start

A task was started a second time beside its run (TWICE) if its worker had restarted under its id and was cut off again before its owner heard the new process.

Cause: nothing but a reply to a renewal told the owner of the new process. The replies to starts came from it already; their clocks were not read. An entry with a later birth ended the runs of the former process, and the owner went on to reckon with the clock of that process.

Change: the reply to a start gives the worker's clock.

--- a/hyssopweir/agent_link.py
+++ b/hyssopweir/agent_link.py
@@ -47,6 +47,8 @@
 # A worker may execute a command without a reply seconds later, after newer commands.
 # The protocol states no bound; no execution is expected after this time.
 MAX_COMMAND_DELAY_MS: Millis = 12_000
+# By how much the delay of replies may shift a reading of a worker's clock.
+CLOCK_TOLERANCE_MS: Millis = 1_000
 # Another process or none answers at the worker's address. A crash causes them, but so
 # do a proxy, a firewall and a full backlog: they stop new work, and end no run.
 ABSENCE_RESULTS = frozenset({CommandResult.NO_LISTENER, CommandResult.OTHER_LIFE})
@@ -137,10 +139,13 @@
         self._on_lapsed = on_lapsed
         self._may_be_extended = may_be_extended
         self._clock_reading: ClockReading | None = None
-        # Bounds of the leases on the worker's clock: of those that this owner granted
-        # to the current process, and of those that other calls may have given it.
+        # Bound of the leases that this owner granted to the process that it last heard,
+        # on the clock of that process.
         self._lease_until_ms: Millis = 0
+        # Local time until which other calls may have extended its leases.
         self._foreign_until_ms: Millis = 0
+        # Local time at which a restart became known before the new process was heard.
+        self._unheard_restart_ms: Millis | None = None
         # Calls for a former process may still be carried out by the current one.
         self._is_exposed = False
         self._acknowledged = 0
@@ -163,7 +168,7 @@
 
         The bound of former leases isn't one: it may be later than any that was granted.
         """
-        if self._clock_reading is None:
+        if self._clock_reading is None or self._unheard_restart_ms is not None:
             return 0
         lease_ms = min(self._times.lease_ms, self._proof.lease_left_ms())
         if lease_ms <= 0:
@@ -184,18 +189,15 @@
                 return duration_ms
             since_ms = max(self._opened_ms, former_ms)
         else:
-            until_ms = max(self._lease_until_ms, self._foreign_until_ms)
-            lease_ms = until_ms - reading.worker_ms
+            lease_ms = self._lease_until_ms - reading.worker_ms
             since_ms, duration_ms = reading.local_ms, int(lease_ms / MIN_CLOCK_RATE)
-        return since_ms + duration_ms + 1 - self._clock.now_ms()
+        until_ms = max(since_ms + duration_ms + 1, self._foreign_until_ms)
+        return until_ms - self._clock.now_ms()
 
     def has_long_lease(self) -> bool:
         """Return whether a successor would take the leases for shorter ones."""
-        if self._clock_reading is None:
-            return False
-        passed_ms = self._clock.now_ms() - self._clock_reading.local_ms
-        left_ms = self._foreign_until_ms - self._clock_reading.worker_ms - passed_ms
-        return left_ms > self._times.lease_ms
+        left_ms = self._foreign_until_ms - self._clock.now_ms()
+        return left_ms > self._times.previous_ms
 
     def contact_fields(self) -> dict[str, Any]:
         """Return the event fields that tell how sure it is that the worker is lost.
@@ -278,17 +280,19 @@
             self.former_births.discard(lease_reply.born_ms)
             self.born_ms = lease_reply.born_ms
             self._lease_until_ms = 0
+        if is_new_process or sent_ms > (self._unheard_restart_ms or 0):
+            self._unheard_restart_ms = None
         if is_first:
             is_extended = self._may_be_extended(self.born_ms)
             times = self._times
             lease_ms = times.longest_ms if is_extended else times.previous_ms
-            self._foreign_until_ms = lease_reply.clock_ms + lease_ms
+            self._foreign_until_ms = now_ms + lease_ms
         elif is_new_process:
-            self._expose(lease_reply.clock_ms)
+            self._expose()
         elif self._is_exposed and token == self._token:
             # The worker has seen the raised token, so that nothing is added any more.
             self._is_exposed = False
-            self._foreign_until_ms = lease_reply.clock_ms + self._times.longest_ms
+            self._foreign_until_ms = now_ms + self._times.longest_ms
         last_reading = self._clock_reading
         self._clock_reading = ClockReading(lease_reply.clock_ms, now_ms)
         self._has_lapsed = False
@@ -313,14 +317,23 @@
             self._acknowledged = last
         return True
 
-    def _expose(self, clock_ms: Millis) -> None:
+    def record_restart(self) -> None:
+        """Record that a new process has taken the place of the one last heard.
+
+        It gets no lease until its clock is known.
+        """
+        self._unheard_restart_ms = self._clock.now_ms()
+        self.load.discard_report(self._clock.now_ms())
+        self._expose()
+
+    def _expose(self) -> None:
         """Raise the token, as calls for the former process may still be on their way.
 
         They ask for leases on the clock of that process, which may be far ahead of that
         of the new one.
         """
         self._foreign_until_ms = (
-            clock_ms + MAX_COMMAND_DELAY_MS + self._times.longest_ms
+            self._clock.now_ms() + MAX_COMMAND_DELAY_MS + self._times.longest_ms
         )
         self._is_exposed = self._tokens.advance()
         self._token = self._tokens.current
@@ -371,9 +384,32 @@
         run.record_start_sent(self._clock.now_ms())
         token = self._token
         command = StartCommand(run.ref, payload, lease_until_ms, token, saved)
-        result = await self._agent.start(self.entry, command, COMMAND_TIMEOUT_MS)
+        reply = await self._agent.start(self.entry, command, COMMAND_TIMEOUT_MS)
         run.settled_ms = self._clock.now_ms()
-        return self._check_fenced(result, token)
+        if reply.clock_ms is not None:
+            self._check_clock(reply.clock_ms, run.since_ms)
+        return self._check_fenced(reply.result, token)
+
+    def _check_clock(self, clock_ms: Millis, sent_ms: Millis) -> None:
+        """Notice a restart by the clock in the reply to a start of that time.
+
+        The new process may be out of reach before it gets a renewal.
+        """
+        reading, now_ms = self._clock_reading, self._clock.now_ms()
+        if reading is None or reading.local_ms >= sent_ms:
+            return
+        expected_ms = reading.worker_ms + now_ms - reading.local_ms
+        is_expected = abs(clock_ms - expected_ms) <= CLOCK_TOLERANCE_MS
+        if is_expected or self._unheard_restart_ms is not None:
+            return
+        self._log.emit(
+            Event.WORKER_RESTARTED,
+            worker=self.entry.worker_id,
+            clock_ms=clock_ms,
+            expected_ms=expected_ms,
+            source="start",
+        )
+        self.record_restart()
 
     async def stop(self, ref: RunRef) -> CommandResult:
         """Stop a run, or prevent it from starting later."""
--- a/hyssopweir/agents.py
+++ b/hyssopweir/agents.py
@@ -102,12 +102,19 @@
     UNKNOWN = "unknown"
 
 
+class StartReply(NamedTuple):
+    """Outcome of a start, and the worker's clock in its reply, None without one."""
+
+    result: CommandResult
+    clock_ms: Millis | None = None
+
+
 class Agent(Protocol):
     """Client for commands to workers; ``token`` is the fencing token of the owner."""
 
     async def start(
         self, worker: WorkerEntry, command: StartCommand, timeout_ms: Millis
-    ) -> CommandResult:
+    ) -> StartReply:
         """Send a command that starts a run."""
         ...
 
--- a/hyssopweir/platform/http_agent.py
+++ b/hyssopweir/platform/http_agent.py
@@ -13,6 +13,7 @@
     LeaseReply,
     RunStatus,
     StartCommand,
+    StartReply,
     WorkerEntry,
     WorkerState,
 )
@@ -115,7 +116,7 @@
 
     async def start(
         self, worker: WorkerEntry, command: StartCommand, timeout_ms: Millis
-    ) -> CommandResult:
+    ) -> StartReply:
         """Send a command to start a run."""
         body = {
             "task": task_name(command.ref.task),
@@ -128,7 +129,14 @@
             body["checkpointed"] = command.saved
         if command.ticket:
             body["ticket"] = command.ticket
-        return await self._send_command(worker, "/run-start", body, timeout_ms)
+        result = await self._send(worker, "/run-start", body, timeout_ms)
+        if isinstance(result, Err):
+            return StartReply(_result_from_error(result.err_value))
+        response = result.ok_value
+        clock_ms = self._faults.read(
+            f"/run-start of {worker.worker_id}", parse_clock, response.data
+        )
+        return StartReply(_result_from_response(response), clock_ms)
 
     async def stop(
         self, worker: WorkerEntry, ref: RunRef, token: int, timeout_ms: Millis
@@ -229,6 +237,13 @@
     return RESULT_BY_STATUS.get(response.status, CommandResult.UNKNOWN)
 
 
+def parse_clock(data: Any) -> Millis | None:
+    """Return the worker's clock in a response; raise ``InputError`` if malformed."""
+    if not isinstance(data, dict) or "clockMs" not in data:
+        return None
+    return read_int(data["clockMs"], "clockMs")
+
+
 def task_name(ref: TaskRef) -> str:
     """Return the name of a task on the wire."""
     return f"{ref.job}.{ref.occurrence}.{ref.step}.{ref.number}"
--- a/tests/agent_fakes.py
+++ b/tests/agent_fakes.py
@@ -19,6 +19,7 @@
     LeaseReply,
     RunStatus,
     StartCommand,
+    StartReply,
     WorkerEntry,
 )
 from hyssopweir.clock import Clock, Millis
@@ -322,6 +323,15 @@
 
     async def start(
         self, worker: WorkerEntry, command: StartCommand, timeout_ms: Millis
+    ) -> StartReply:
+        result = await self._start(worker, command, timeout_ms)
+        fake = self._workers[worker.worker_id]
+        if result is CommandResult.UNKNOWN or self._refusal(worker.worker_id):
+            return StartReply(result)
+        return StartReply(result, self._clock.now_ms() - fake.clock_start_ms)
+
+    async def _start(
+        self, worker: WorkerEntry, command: StartCommand, timeout_ms: Millis
     ) -> CommandResult:
         if not await self._reach(worker, timeout_ms):
             return CommandResult.UNKNOWN
--- a/tests/test_endless_tasks.py
+++ b/tests/test_endless_tasks.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from hyssopweir.agents import CommandResult
+from hyssopweir.agents import CommandResult, StartReply
 from hyssopweir.cell_layout import request_key
 from hyssopweir.events import Event
 from hyssopweir.row_store import ABSENT, MAX_ROW_BYTES, Write
@@ -509,8 +509,8 @@
         simulation = CellSimulation(workers=8, cells=2)
         await simulation.sleep_ms(1_500)
 
-        async def refuse(*_: object) -> CommandResult:
-            return CommandResult.NOT_SENT
+        async def refuse(*_: object) -> StartReply:
+            return StartReply(CommandResult.NOT_SENT)
 
         for instance in simulation.instances:
             instance.agent.start = refuse  # type: ignore[method-assign]
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -154,7 +154,8 @@
             cluster.worker.fixed_reply = (status, data)
             agent = HttpAgent(cluster.client, cluster.log())
             command = StartCommand(RUN_REF, "paint", 9_000, 7, saved="0b")
-            assert await agent.start(worker_entry(cluster), command, 1_000) is expected
+            reply = await agent.start(worker_entry(cluster), command, 1_000)
+            assert reply.result is expected
             body = cluster.worker.requests[0][1]
             assert body == {
                 "task": f"{JOB}.0.1.17",
--- a/tests/test_run_end_evidence.py
+++ b/tests/test_run_end_evidence.py
@@ -14,6 +14,7 @@
     CommandResult,
     LeaseReply,
     StartCommand,
+    StartReply,
     WorkerEntry,
 )
 from hyssopweir.cell_heartbeats import CellHeartbeats, Heartbeat, HeartbeatResult
@@ -97,8 +98,8 @@
         await asyncio.sleep(0.2)
         await client.close()
         server.close()
-        assert first is CommandResult.ACCEPTED
-        assert second is CommandResult.UNKNOWN
+        assert first.result is CommandResult.ACCEPTED
+        assert second.result is CommandResult.UNKNOWN
         assert len(requests) == 2
 
     asyncio.run(main())
@@ -239,13 +240,13 @@
                 entry: WorkerEntry,
                 command: StartCommand,
                 timeout_ms: Millis,
-                start: Callable[..., Awaitable[CommandResult]] = start,
-            ) -> CommandResult:
+                start: Callable[..., Awaitable[StartReply]] = start,
+            ) -> StartReply:
                 if lost:
                     return await start(entry, command, timeout_ms)
                 lost.append(command.ref)
                 await simulation.clock.sleep_ms(timeout_ms)
-                return CommandResult.UNKNOWN
+                return StartReply(CommandResult.UNKNOWN)
 
             async def misdirect_first_stop(
                 *args: Any, stop: Callable[..., Awaitable[CommandResult]] = stop
@@ -284,7 +285,7 @@
         client = JsonHttpClient()
         agent = HttpAgent(client, EventLog("a", "kista", Clock()))
         results = [
-            await agent.start(entry, COMMAND, 1_000),
+            (await agent.start(entry, COMMAND, 1_000)).result,
             await agent.stop(entry, REF, 7, 1_000),
         ]
         await client.close()
@@ -330,15 +331,15 @@
                 entry: WorkerEntry,
                 command: StartCommand,
                 timeout_ms: Millis,
-                start: Callable[..., Awaitable[CommandResult]] = start,
-            ) -> CommandResult:
+                start: Callable[..., Awaitable[StartReply]] = start,
+            ) -> StartReply:
                 if late:
                     return await start(entry, command, timeout_ms)
                 late.append(entry)
                 fake = simulation.workers[entry.worker_id]
                 asyncio.get_running_loop().call_later(1.5, fake.start, command)
                 await simulation.clock.sleep_ms(timeout_ms)
-                return CommandResult.UNKNOWN
+                return StartReply(CommandResult.UNKNOWN)
 
             cast(Any, instance.agent).start = delay_first_start
         step = build_step(1, is_endless=True)
@@ -381,9 +382,9 @@
 
     async def start(
         self, _: WorkerEntry, command: StartCommand, __: Millis
-    ) -> CommandResult:
+    ) -> StartReply:
         self._grant(command.lease_until_ms)
-        return CommandResult.ACCEPTED
+        return StartReply(CommandResult.ACCEPTED, self._worker_ms())
 
     async def renew_leases(
         self,
--- a/tests/test_worker_lives.py
+++ b/tests/test_worker_lives.py
@@ -10,7 +10,13 @@
 
 import pytest
 
-from hyssopweir.agents import CommandResult, LeaseReply, StartCommand, WorkerEntry
+from hyssopweir.agents import (
+    CommandResult,
+    LeaseReply,
+    StartCommand,
+    StartReply,
+    WorkerEntry,
+)
 from hyssopweir.clock import Millis
 from hyssopweir.resources import Resources
 from hyssopweir.workflow_progress import WorkflowState
@@ -89,6 +95,33 @@
     run_virtual(run_scenario())
 
 
+@pytest.mark.parametrize("seed", range(3))
+@pytest.mark.parametrize("heard_ms", [50, 400])
+@pytest.mark.parametrize("listed_ms", [0, LISTED_MS])
+def test_worker_that_is_cut_off_before_it_is_heard_runs_no_task_beside_another(
+    listed_ms: Millis, heard_ms: Millis, seed: int
+) -> None:
+    """Guards against a second run beside one that only the reply to its start shows."""
+
+    async def run_scenario() -> None:
+        simulation = await build_simulation(seed)
+        worker = simulation.workers["w0"]
+        jobs = asyncio.ensure_future(submit_jobs(simulation, seed))
+        await simulation.sleep_ms(500)
+        await restart(worker, simulation, seed)
+        await simulation.sleep_ms(heard_ms)
+        worker.is_cut = True
+        await simulation.sleep_ms(listed_ms)
+        worker.is_listed = False
+        await simulation.sleep_ms(CUT_MS - listed_ms)
+        worker.is_cut, worker.is_listed = False, True
+        await simulation.sleep_ms(8_000)
+        await jobs
+        assert simulation.work.breaches == []
+
+    run_virtual(run_scenario())
+
+
 def test_late_renewal_for_a_former_process_has_no_effect() -> None:
     """Guards against leases and acknowledgements that the former process should get."""
 
@@ -118,14 +151,15 @@
 
         async def start_late(
             worker: WorkerEntry, command: StartCommand, timeout_ms: Millis
-        ) -> CommandResult:
+        ) -> StartReply:
             if worker.worker_id != "w0" or delayed:
                 return await start(worker, command, timeout_ms)
             delayed.append(command)
             await restart(simulation.workers["w0"], simulation, 0)
             await simulation.sleep_ms(HEARD_MS)
-            results.append(await start(worker, command, timeout_ms))
-            return results[0]
+            reply = await start(worker, command, timeout_ms)
+            results.append(reply.result)
+            return reply
 
         cast(Any, owner.agent).start = start_late
         epoch = owner.host.owned["c0"].state.epoch
