Soak: start the clock of each life of a worker at another value

The stand-in of a worker began each life at 0, where a real one begins at any value.

Three tests of the stand-in sent deadlines of 5 s from 0; they take the worker's clock now.

--- a/soak/worker.py
+++ b/soak/worker.py
@@ -29,6 +29,7 @@
 MAX_LISTED_ENDS = 500
 # The clocks of workers may be 2% slow.
 MIN_CLOCK_RATE = 0.98
+MAX_FIRST_CLOCK_MS = 10_000_000
 # A lasting task is at work after this time.
 STARTUP_MS = 300
 # Restoring a checkpoint takes this long.
@@ -122,6 +123,9 @@
         self._sender_of = sender_of
         self._clock_rate = rng.uniform(MIN_CLOCK_RATE, 1.0)
         self._began_ms = record.now_ms()
+        # The clock of each life starts at another value.
+        birth = f"{worker_id} {self.life.born_ms}"
+        self._first_clock_ms = zlib.crc32(birth.encode()) % MAX_FIRST_CLOCK_MS
         self._ends: list[tuple[int, RunKey, str, str, Millis]] = []
         self._end_count = 0
         # By task, the highest run that was stopped or has ended.
@@ -168,7 +172,8 @@
             )
 
     def _clock_ms(self) -> int:
-        return int((self._record.now_ms() - self._began_ms) * self._clock_rate)
+        passed_ms = (self._record.now_ms() - self._began_ms) * self._clock_rate
+        return self._first_clock_ms + int(passed_ms)
 
     async def handle(self, req: web.BaseRequest) -> web.StreamResponse:
         """Answer one call of an instance."""
--- a/tests/test_soak_stand_ins.py
+++ b/tests/test_soak_stand_ins.py
@@ -47,6 +47,10 @@
         assert req.transport is not None
         return req.transport.get_extra_info("peername")[1] in self.proxy.late_ports
 
+    def clock_ms(self) -> int:
+        """Return the worker's clock without a call."""
+        return int(self.worker.entry((HOST, 0))["clockMs"])
+
     async def post(
         self, path: str, timeout_s: float = 2.0, worker_id: str = "w1", **body: Any
     ) -> tuple[int, dict[str, Any]]:
@@ -201,24 +205,26 @@
 
 def test_request_that_is_cut_arrives_when_the_cut_is_over() -> None:
     async def case(lab: Lab) -> None:
+        deadline_ms = lab.clock_ms() + 5_000
         with lab.proxy.degraded(LinkState(cuts_requests=True)):
             with pytest.raises(TimeoutError):
-                await lab.post("/hold", 0.2, deadlineMs=5_000)
+                await lab.post("/hold", 0.2, deadlineMs=deadline_ms)
             assert lab.worker.lease_until_ms == 0
         await asyncio.sleep(0.2)
-        assert lab.worker.lease_until_ms == 5_000
+        assert lab.worker.lease_until_ms == deadline_ms
 
     play(case)
 
 
 def test_request_is_carried_out_when_its_reply_is_cut() -> None:
     async def case(lab: Lab) -> None:
+        deadline_ms = lab.clock_ms() + 5_000
         with (
             lab.proxy.degraded(LinkState(cuts_replies=True)),
             pytest.raises(TimeoutError),
         ):
-            await lab.post("/hold", 0.2, deadlineMs=5_000)
-        assert lab.worker.lease_until_ms == 5_000
+            await lab.post("/hold", 0.2, deadlineMs=deadline_ms)
+        assert lab.worker.lease_until_ms == deadline_ms
 
     play(case)
 
@@ -227,7 +233,7 @@
     """Guards against an order that counts as sent when it arrives."""
 
     async def case(lab: Lab) -> None:
-        body = {"task": TASK, "run": 1, "deadlineMs": 5_000}
+        body = {"task": TASK, "run": 1, "deadlineMs": lab.clock_ms() + 5_000}
         with (
             lab.proxy.degraded(LinkState(cuts_requests=True)),
             pytest.raises(TimeoutError),
