Keep the cell when a renewal is refused for an earlier token of its owner

A restart that a start or an entry shows raises the token while a renewal is on its way. The renewal is then refused for its lower token, and the owner took that for a successor and gave up its cell. And a reply 421 has the clock of another worker: it showed a restart that there was not.

Change: the result of a renewal is compared with the token that it was sent with; the clock of a reply 421 isn't read.

Measured: both new tests of test_run_end_evidence failed before and pass now.

--- a/hyssopweir/agent_link.py
+++ b/hyssopweir/agent_link.py
@@ -236,7 +236,7 @@
                 wait_ms + self._timeout_ms(),
             )
             if isinstance(reply, Err):
-                self._handle_renewal_error(reply.err_value)
+                self._handle_renewal_error(reply.err_value, token)
                 wait_ms = 0
                 await self._clock.sleep_ms(self._before_expiry(pause_ms))
                 pause_ms = min(2 * pause_ms, MAX_RETRY_MS)
@@ -280,7 +280,8 @@
             self.former_births.discard(lease_reply.born_ms)
             self.born_ms = lease_reply.born_ms
             self._lease_until_ms = 0
-        if is_new_process or sent_ms > (self._unheard_restart_ms or 0):
+        noticed_ms = self._unheard_restart_ms
+        if noticed_ms is not None and (is_new_process or sent_ms > noticed_ms):
             self._unheard_restart_ms = None
         if is_first:
             is_extended = self._may_be_extended(self.born_ms)
@@ -350,8 +351,9 @@
         self._on_fenced()
         return result
 
-    def _handle_renewal_error(self, result: CommandResult) -> None:
-        if self._check_fenced(result, self._token) is CommandResult.FENCED:
+    def _handle_renewal_error(self, result: CommandResult, token: int) -> None:
+        result = self._check_fenced(result, token)
+        if result is CommandResult.FENCED:
             return
         self._is_silent = True
         if result not in self._silent_results:
@@ -386,7 +388,8 @@
         command = StartCommand(run.ref, payload, lease_until_ms, token, saved)
         reply = await self._agent.start(self.entry, command, COMMAND_TIMEOUT_MS)
         run.settled_ms = self._clock.now_ms()
-        if reply.clock_ms is not None:
+        # Another worker at the address has a clock of its own.
+        if reply.clock_ms is not None and reply.result is not CommandResult.OTHER_LIFE:
             self._check_clock(reply.clock_ms, run.since_ms)
         return self._check_fenced(reply.result, token)
 
--- a/hyssopweir/cell_scheduler.py
+++ b/hyssopweir/cell_scheduler.py
@@ -153,9 +153,9 @@
     def place(self) -> None:
         """Record and start runs for all waiting tasks that fit now."""
         now_ms = self._state.now_ms()
-        loads, last_resort = self._available_loads(now_ms)
-        current = PlacementPass(loads, now_ms)
-        last = PlacementPass(last_resort, now_ms)
+        available, last_resort = self._available_loads(now_ms)
+        current = PlacementPass(available, now_ms)
+        last_resort_pass = PlacementPass(last_resort, now_ms)
         new_runs: list[tuple[Run, AgentLink]] = []
         jobs = self._jobs_by_urgency()
         # Lost endless tasks of all jobs go before tasks that have never run.
@@ -163,9 +163,9 @@
             with self._state.guard(progress.key):
                 lost = progress.lost_endless_tasks()
                 new_runs.extend(self._place_tasks(progress, lost, current))
-                unplaced = [entry for entry in lost if entry[2].is_waiting()]
-                new_runs.extend(self._place_tasks(progress, unplaced, last))
-                for ref, step, task in unplaced:
+                lost = [entry for entry in lost if entry[2].is_waiting()]
+                new_runs.extend(self._place_tasks(progress, lost, last_resort_pass))
+                for ref, step, task in lost:
                     if task.is_waiting():
                         current.hold_worker(ref, progress.workflow.service, step)
         current.exclude_held()
--- a/tests/test_run_end_evidence.py
+++ b/tests/test_run_end_evidence.py
@@ -415,20 +415,9 @@
     async def main() -> None:
         clock = VirtualClock()
         worker = RestartingWorker(clock)
-        log = EventLog("a", "kista", clock)
         left_ms: list[Millis] = []
-        link = AgentLink(
-            build_entry(),
-            FencingTokens(1),
-            cast(Agent, worker),
-            clock,
-            log,
-            lambda *_: None,
-            lambda: None,
-            OwnershipProof("c0", clock, log),
-            lease_times(LONGEST_LEASE_MS),
-            lambda _: left_ms.append(worker.lease_left_ms()),
-            lambda _: False,
+        link = build_link(
+            worker, clock, on_lapsed=lambda _: left_ms.append(worker.lease_left_ms())
         )
         renewals = asyncio.ensure_future(link.run())
         await clock.sleep_ms(2_000)
@@ -445,6 +434,89 @@
     run_virtual(main())
 
 
+class RefusingWorker(RestartingWorker):
+    """Worker that refuses calls below a token, and is reached late by renewals."""
+
+    lowest_token = 0
+    renewals_refused = 0
+
+    async def renew_leases(
+        self, entry: WorkerEntry, token: int, *args: Any
+    ) -> Result[LeaseReply, CommandResult]:
+        await self._clock.sleep_ms(100)
+        if token < self.lowest_token:
+            self.renewals_refused += 1
+            return Err(CommandResult.FENCED)
+        return await super().renew_leases(entry, token, *args)
+
+
+def build_link(
+    worker: RestartingWorker,
+    clock: VirtualClock,
+    on_fenced: Callable[[], None] = lambda: None,
+    on_lapsed: Callable[[AgentLink], None] = lambda _: None,
+) -> AgentLink:
+    log = EventLog("a", "kista", clock)
+    return AgentLink(
+        build_entry(),
+        FencingTokens(1),
+        cast(Agent, worker),
+        clock,
+        log,
+        lambda *_: None,
+        on_fenced,
+        OwnershipProof("c0", clock, log),
+        lease_times(LONGEST_LEASE_MS),
+        on_lapsed,
+        lambda _: False,
+    )
+
+
+def test_renewal_that_a_raised_token_overtakes_ends_no_ownership() -> None:
+    """Guards against an owner that takes its own raised token for a successor's."""
+
+    async def main() -> None:
+        clock = VirtualClock()
+        worker = RefusingWorker(clock)
+        fenced: list[bool] = []
+        link = build_link(worker, clock, lambda: fenced.append(True))
+        renewals = asyncio.ensure_future(link.run())
+        await clock.sleep_ms(1_050)
+        link.record_restart()
+        worker.lowest_token = 2
+        await clock.sleep_ms(2_000)
+        assert worker.renewals_refused == 1
+        assert not fenced
+        worker.lowest_token = 10_000
+        await clock.sleep_ms(2_000)
+        renewals.cancel()
+        assert fenced
+
+    run_virtual(main())
+
+
+def test_clock_of_another_worker_shows_no_restart() -> None:
+    """Guards against an address that reaches another worker for a while."""
+
+    async def main() -> None:
+        clock = VirtualClock()
+        worker = RestartingWorker(clock)
+        link = build_link(worker, clock)
+        renewals = asyncio.ensure_future(link.run())
+        await clock.sleep_ms(1_000)
+
+        async def misroute(*_: Any) -> StartReply:
+            return StartReply(CommandResult.OTHER_LIFE, 17)
+
+        cast(Any, worker).start = misroute
+        run = Run(REF, "w0", 0, clock.now_ms())
+        assert await link.start(run, "paint", "") is CommandResult.OTHER_LIFE
+        assert link.lease_until_ms() > 0
+        renewals.cancel()
+
+    run_virtual(main())
+
+
 def test_entry_at_the_address_of_a_worker_that_replies_ends_no_run() -> None:
     """Guards against lost work on a worker that lost its entry, not its process."""
 
@@ -466,20 +538,7 @@
     async def main() -> None:
         clock = VirtualClock()
         worker = RestartingWorker(clock)
-        log = EventLog("a", "kista", clock)
-        link = AgentLink(
-            build_entry(),
-            FencingTokens(1),
-            cast(Agent, worker),
-            clock,
-            log,
-            lambda *_: None,
-            lambda: None,
-            OwnershipProof("c0", clock, log),
-            lease_times(LONGEST_LEASE_MS),
-            lambda _: None,
-            lambda _: False,
-        )
+        link = build_link(worker, clock)
         renewals = asyncio.ensure_future(link.run())
         await clock.sleep_ms(PROVEN_LEASE_MS - 500)
         # Its first replies are those of a young process, whose leases may be long.
