Soak: count the end of a lease from the first clock of a worker

The stand-in gave the end of runs with an expired lease as the time on a clock from 0 on. The test of an expired lease checks the time of the end now; it failed before.

--- a/soak/worker.py
+++ b/soak/worker.py
@@ -280,7 +280,8 @@
         """End all runs if the lease has expired, at the time when it did."""
         if not self.lease_until_ms or self._clock_ms() < self.lease_until_ms:
             return
-        at_ms = self._began_ms + self.lease_until_ms / self._clock_rate
+        lease_ms = self.lease_until_ms - self._first_clock_ms
+        at_ms = self._began_ms + lease_ms / self._clock_rate
         self._lapsed_ms, self.lease_until_ms = at_ms, 0
         for run in list(self.runs.values()):
             self._end(run, "lapsed", at_ms)
--- a/tests/test_soak_stand_ins.py
+++ b/tests/test_soak_stand_ins.py
@@ -147,6 +147,8 @@
         assert ends(lab) == []
         await asyncio.sleep(0.2)
         assert ends(lab) == ["lapsed"]
+        [end] = [event for event in lab.record.events if isinstance(event, RunEnded)]
+        assert 0 <= lab.record.now_ms() - end.at_ms <= LEASE_MS
 
     play(case, Work(10_000))
 
