Record a listed restart once for each birth

Each change of the entry of a restarted worker that is out of reach counted as a further restart and deferred the end of its leases, so that its runs would not have been started elsewhere.

Measured: test_entry_that_changes_again_shows_no_further_restart fails without the comparison of births and passes with it.

--- a/hyssopweir/agent_link.py
+++ b/hyssopweir/agent_link.py
@@ -146,6 +146,8 @@
         self._foreign_until_ms: Millis = 0
         # Local time at which a restart became known before the new process was heard.
         self._unheard_restart_ms: Millis | None = None
+        # Birth of the last restart that an entry showed.
+        self._listed_restart_ms: Millis = 0
         # Calls for a former process may still be carried out by the current one.
         self._is_exposed = False
         self._acknowledged = 0
@@ -318,7 +320,13 @@
             self._acknowledged = last
         return True
 
-    def record_restart(self) -> None:
+    def record_listed_restart(self, born_ms: Millis) -> None:
+        """Record a restart that the entry of the worker shows, once for each birth."""
+        if born_ms != self._listed_restart_ms:
+            self._listed_restart_ms = born_ms
+            self._record_restart()
+
+    def _record_restart(self) -> None:
         """Record that a new process has taken the place of the one last heard.
 
         It gets no lease until its clock is known.
@@ -412,7 +420,7 @@
             expected_ms=expected_ms,
             source="start",
         )
-        self.record_restart()
+        self._record_restart()
 
     async def stop(self, ref: RunRef) -> CommandResult:
         """Stop a run, or prevent it from starting later."""
--- a/hyssopweir/cell.py
+++ b/hyssopweir/cell.py
@@ -496,7 +496,7 @@
                 # next one if the time of day was set back.
                 is_later = entry.born_ms > link.born_ms > 0
                 if is_later and entry.born_ms not in link.former_births:
-                    link.record_restart()
+                    link.record_listed_restart(entry.born_ms)
                     self._reports.detect_restart(link, entry.born_ms, "list")
         now_ms = self._clock.now_ms()
         for worker_id, link in list(self.state.links.items()):
--- a/tests/test_run_end_evidence.py
+++ b/tests/test_run_end_evidence.py
@@ -482,7 +482,7 @@
         link = build_link(worker, clock, lambda: fenced.append(True))
         renewals = asyncio.ensure_future(link.run())
         await clock.sleep_ms(1_050)
-        link.record_restart()
+        link.record_listed_restart(2)
         worker.lowest_token = 2
         await clock.sleep_ms(2_000)
         assert worker.renewals_refused == 1
@@ -495,6 +495,26 @@
     run_virtual(main())
 
 
+def test_entry_that_changes_again_shows_no_further_restart() -> None:
+    """Guards against runs that never lapse, as each change of an entry defers it."""
+
+    async def main() -> None:
+        clock = VirtualClock()
+        worker = RestartingWorker(clock)
+        link = build_link(worker, clock)
+        renewals = asyncio.ensure_future(link.run())
+        await clock.sleep_ms(1_000)
+        worker.is_cut = True
+        link.record_listed_restart(2)
+        left_ms = link.contact_fields()["lease_left_ms"]
+        await clock.sleep_ms(3_000)
+        link.record_listed_restart(2)
+        assert link.contact_fields()["lease_left_ms"] <= left_ms - 3_000
+        renewals.cancel()
+
+    run_virtual(main())
+
+
 def test_clock_of_another_worker_shows_no_restart() -> None:
     """Guards against an address that reaches another worker for a while."""
 
--- a/tests/test_worker_lives.py
+++ b/tests/test_worker_lives.py
@@ -52,6 +52,18 @@
     worker.is_cut = False
 
 
+async def cut_off(
+    worker: FakeWorker, simulation: CellSimulation, listed_ms: Millis
+) -> None:
+    """Cut a worker off for a while, and let its tasks go on afterwards."""
+    worker.is_cut = True
+    await simulation.sleep_ms(listed_ms)
+    worker.is_listed = False
+    await simulation.sleep_ms(CUT_MS - listed_ms)
+    worker.is_cut, worker.is_listed = False, True
+    await simulation.sleep_ms(8_000)
+
+
 async def build_simulation(seed: int) -> CellSimulation:
     simulation = CellSimulation(workers=4, seed=seed)
     for worker in simulation.workers.values():
@@ -83,12 +95,7 @@
             await simulation.sleep_ms(400)
         else:
             await simulation.sleep_ms(1_500)
-        worker.is_cut = True
-        await simulation.sleep_ms(LISTED_MS)
-        worker.is_listed = False
-        await simulation.sleep_ms(CUT_MS - LISTED_MS)
-        worker.is_cut, worker.is_listed = False, True
-        await simulation.sleep_ms(8_000)
+        await cut_off(worker, simulation, LISTED_MS)
         await jobs
         assert simulation.work.breaches == []
 
@@ -110,12 +117,7 @@
         await simulation.sleep_ms(500)
         await restart(worker, simulation, seed)
         await simulation.sleep_ms(heard_ms)
-        worker.is_cut = True
-        await simulation.sleep_ms(listed_ms)
-        worker.is_listed = False
-        await simulation.sleep_ms(CUT_MS - listed_ms)
-        worker.is_cut, worker.is_listed = False, True
-        await simulation.sleep_ms(8_000)
+        await cut_off(worker, simulation, listed_ms)
         await jobs
         assert simulation.work.breaches == []
 
