Red test: owner that dies before it knows of a restart

Nothing that the successor can read tells of the longer lease. To wait for it with every unlisted worker would leave lasting tasks away for more than the 9 s that are allowed when an owner and a worker are lost together.

--- a/tests/test_worker_lives.py
+++ b/tests/test_worker_lives.py
@@ -53,13 +53,16 @@
 
 
 async def cut_off(
-    worker: FakeWorker, simulation: CellSimulation, listed_ms: Millis
+    worker: FakeWorker,
+    simulation: CellSimulation,
+    listed_ms: Millis,
+    cut_ms: Millis = CUT_MS,
 ) -> None:
     """Cut a worker off for a while, and let its tasks go on afterwards."""
     worker.is_cut = True
     await simulation.sleep_ms(listed_ms)
     worker.is_listed = False
-    await simulation.sleep_ms(CUT_MS - listed_ms)
+    await simulation.sleep_ms(cut_ms - listed_ms)
     worker.is_cut, worker.is_listed = False, True
     await simulation.sleep_ms(8_000)
 
@@ -124,6 +127,34 @@
     run_virtual(run_scenario())
 
 
+@pytest.mark.parametrize("seed", range(3))
+@pytest.mark.parametrize(("late_share", "listed_ms"), [(0.0, 0), (0.3, LISTED_MS)])
+def test_owner_that_dies_before_it_knows_of_a_restart_leaves_no_second_run(
+    late_share: float, listed_ms: Millis, seed: int
+) -> None:
+    """Guards against a second run beside one that no living owner knows to be long.
+
+    Either the new process is cut off before its entry is stored, or starts of the
+    former owner are carried out late.
+    """
+
+    async def run_scenario() -> None:
+        simulation = await build_simulation(seed)
+        worker = simulation.workers["w0"]
+        worker.late_share = late_share
+        jobs = asyncio.ensure_future(submit_jobs(simulation, seed))
+        await simulation.sleep_ms(500)
+        await restart(worker, simulation, seed)
+        await simulation.sleep_ms(100)
+        await simulation.owner().crash()
+        await simulation.sleep_ms(400)
+        await cut_off(worker, simulation, listed_ms, 14_000)
+        await jobs
+        assert simulation.work.breaches == []
+
+    run_virtual(run_scenario())
+
+
 def test_late_renewal_for_a_former_process_has_no_effect() -> None:
     """Guards against leases and acknowledgements that the former process should get."""
 
