Log lost tasks, held workers and the listing of workers

The trace of a lasting task that stays away needs four facts that no event states: which workers a pass holds and for how long, why a lost task has no held worker and isn't transferred, the capacity of the workers that accept tasks (CELL_LOAD also counts those that are no longer listed), and when a worker is listed, leaves and disappears from the list. LOST_TASKS, WORKER_LISTED, WORKER_UNLISTED and WORKER_LEAVING state them, and TASK_STARTING what the task takes. No decision changes.

--- a/hyssopweir/cell.py
+++ b/hyssopweir/cell.py
@@ -9,7 +9,7 @@
 from result import Err
 
 from hyssopweir.agent_link import LONGEST_LEASE_MS, AgentLink, lease_times
-from hyssopweir.agents import Agent, WorkerEntry
+from hyssopweir.agents import Agent, WorkerEntry, WorkerState
 from hyssopweir.call_failures import CallFailures
 from hyssopweir.cell_heartbeats import CellHeartbeats, Heartbeat
 from hyssopweir.cell_layout import CellLayout, WorkerListing, requests_table
@@ -490,6 +490,7 @@
                 self._open_link(entry)
                 continue
             if link.entry != entry:
+                self._log_leaving(link, entry)
                 link.load.entry = entry
                 self.state.wake.set()
                 # An entry may be older than the last reply, and a birth later than the
@@ -500,6 +501,13 @@
                     self._reports.detect_restart(link, entry.born_ms, "list")
         now_ms = self._clock.now_ms()
         for worker_id, link in list(self.state.links.items()):
+            if link.load.is_listed and worker_id not in entries:
+                self._log.emit(
+                    Event.WORKER_UNLISTED,
+                    worker=worker_id,
+                    cell=self.state.cell,
+                    runs=len(link.load.runs),
+                )
             link.load.is_listed = worker_id in entries
             if link.load.is_listed:
                 self._unlisted_since_ms.pop(worker_id, None)
@@ -510,6 +518,20 @@
                 self._drop_link(link)
         self._lapse_unreported(entries, now_ms)
 
+    def _log_leaving(self, link: AgentLink, entry: WorkerEntry) -> None:
+        states = (link.entry.state, entry.state)
+        if states != (WorkerState.READY, WorkerState.LEAVING):
+            return
+        self._log.emit(
+            Event.WORKER_LEAVING,
+            worker=entry.worker_id,
+            cell=self.state.cell,
+            leaves_in_ms=entry.leaves_in_ms,
+            runs=len(link.load.runs),
+            servers=link.load.servers,
+            lasting_cpu=link.load.lasting.cpu,
+        )
+
     def _open_link(self, entry: WorkerEntry) -> None:
         link = AgentLink(
             entry,
@@ -525,6 +547,16 @@
             partial(self._may_be_extended, entry.worker_id),
         )
         self.state.links[entry.worker_id] = link
+        self._log.emit(
+            Event.WORKER_LISTED,
+            worker=entry.worker_id,
+            cell=self.state.cell,
+            rack=entry.rack,
+            state=entry.state.value,
+            cpu=entry.room.cpu,
+            memory_mb=entry.room.memory_mb,
+            age_ms=self._clock.wall_ms() - entry.born_ms,
+        )
         loop = asyncio.get_running_loop()
         self._link_tasks[entry.worker_id] = loop.create_task(self._run_link(link))
 
--- a/hyssopweir/cell_maintenance.py
+++ b/hyssopweir/cell_maintenance.py
@@ -1,5 +1,6 @@
 """Periodic work of a cell's owner: due jobs, pacing, draining and cleanup."""
 
+from collections import Counter
 from itertools import islice
 
 from hyssopweir.agent_link import AgentLink
@@ -11,9 +12,18 @@
 from hyssopweir.events import Event
 from hyssopweir.filler_pacing import FillerPacing
 from hyssopweir.job_transfers import JobTransfers
-from hyssopweir.placement_obstacles import MAX_REPORTS, describe_absent_tasks
+from hyssopweir.placement_obstacles import (
+    MAX_REPORTS,
+    describe_absent_tasks,
+    describe_held,
+)
 from hyssopweir.run_commands import RunCommands
-from hyssopweir.spare_capacity import describe_spare, spare_capacity
+from hyssopweir.spare_capacity import (
+    can_ever_fit,
+    describe_spare,
+    reclaimable_capacity,
+    spare_capacity,
+)
 from hyssopweir.stragglers import (
     DurationComparison,
     compare_durations,
@@ -77,6 +87,7 @@
         if now_ms - self._last_load_log_ms >= LOAD_INTERVAL_MS:
             self._last_load_log_ms = now_ms
             self._log_load()
+            self._log_lost_tasks(now_ms)
             self._log_absent_tasks(now_ms)
             if not self._state.interference_model.is_empty():
                 self._state.commits.mark(self._state.progress_key(INTERFERENCE_KEY))
@@ -118,6 +129,41 @@
             **describe_spare(spare_capacity(self._state)),
         )
 
+    def _log_lost_tasks(self, now_ms: Millis) -> None:
+        lost: list[tuple[str, Step]] = []
+        for job in list(self._state.unplaced):
+            with self._state.guard(job):
+                progress = self._state.jobs[job]
+                service = progress.workflow.service
+                tasks = progress.lost_endless_tasks()
+                lost.extend((service, step) for _, step, _ in tasks)
+        held = self._scheduler.held_since_ms
+        if not lost and not held:
+            return
+        loads = [link.load for link in self._state.links.values()]
+        usable = [load for load in loads if load.accepts_tasks(now_ms)]
+        fits = {item: can_ever_fit(*item, self._state) for item in set(lost)}
+        self._state.log.emit(
+            Event.LOST_TASKS,
+            cell=self._state.cell,
+            lost=len(lost),
+            lost_cpu=sum(step.charge.cpu for _, step in lost),
+            never_fit=sum(not fits[item] for item in lost),
+            usable_workers=len(usable),
+            usable_cpu=sum(load.entry.room.cpu for load in usable),
+            free_cpu=sum(load.free.cpu for load in usable),
+            lasting_cpu=sum(load.lasting.cpu for load in usable),
+            excluded=Counter(filter(None, (load.exclusion(now_ms) for load in loads))),
+            held_workers=len(held),
+            held=describe_held(self._state, held, now_ms),
+            unheld=dict(self._scheduler.unheld),
+            kept=dict(self._task_transfers.kept_lost),
+            reclaimable={
+                service: [[free.cpu, free.memory_mb] for free in amounts]
+                for service, amounts in reclaimable_capacity(self._state).items()
+            },
+        )
+
     def _log_absent_tasks(self, now_ms: Millis) -> None:
         descriptions = describe_absent_tasks(self._state, now_ms)
         for fields in islice(descriptions, MAX_REPORTS):
--- a/hyssopweir/cell_scheduler.py
+++ b/hyssopweir/cell_scheduler.py
@@ -1,5 +1,6 @@
 """Placement of waiting tasks, ordered by the urgency of their jobs."""
 
+from collections import Counter
 from collections.abc import Iterable, Iterator, Mapping, Sequence, Set
 from operator import itemgetter
 from typing import NamedTuple
@@ -70,6 +71,8 @@
         # By worker that is held for lost endless tasks, the capacity left for others
         # of them.
         self._held: dict[str, Resources] = {}
+        # By reason, the lost endless tasks for which no worker is held.
+        self.unheld: Counter[str] = Counter()
 
     def hold_worker(self, ref: TaskRef, service: str, step: Step) -> None:
         """Keep other tasks off a worker until a lost endless task fits there.
@@ -88,6 +91,7 @@
                 self._held[worker_id] = left.minus(step.charge)
                 return
         if len(held_ids) >= max(MAX_HELD_SHARE * len(workers), 1):
+            self.unheld["limit"] += 1
             return
         candidates = [
             load
@@ -100,6 +104,12 @@
             load = max(candidates, key=lambda load: load.free)
             left = load.reclaimable.minus(step.charge)
             self._held[load.entry.worker_id] = left
+        else:
+            self.unheld["no worker fits"] += 1
+
+    def held_ids(self) -> list[str]:
+        """Return the workers that are held, the first one for the most urgent task."""
+        return list(self._held)
 
     def exclude_held(self) -> None:
         """Leave the held workers out of the rest of the pass."""
@@ -139,6 +149,10 @@
         self._tried_jobs: set[str] = set()
         # Jobs that the last pass has left to later ones.
         self.untried_jobs = 0
+        # By worker that the last pass has held, since when passes have done so.
+        self.held_since_ms: dict[str, Millis] = {}
+        # By reason, the lost endless tasks for which the last pass held no worker.
+        self.unheld: Counter[str] = Counter()
 
     async def run(self) -> None:
         """Run a placement pass whenever the state of the cell has changed."""
@@ -169,6 +183,11 @@
                     if task.is_waiting():
                         current.hold_worker(ref, progress.workflow.service, step)
         current.exclude_held()
+        self.held_since_ms = {
+            worker_id: self.held_since_ms.get(worker_id, now_ms)
+            for worker_id in current.held_ids()
+        }
+        self.unheld = current.unheld
         for progress in self._jobs_within_bounds(jobs, current):
             with self._state.guard(progress.key):
                 if not is_unplaceable(progress, current.unplaceable):
@@ -305,6 +324,9 @@
             Event.TASK_STARTING,
             **run.ref.fields(),
             worker=run.worker,
+            cpu=step.charge.cpu,
+            memory_mb=step.charge.memory_mb,
+            lasts=step.is_endless,
             free_cpu=load.free.cpu,
             report_age_ms=now_ms - load.last_report_ms,
             waited_ms=now_ms - progress.added_ms,
--- a/hyssopweir/task_transfers.py
+++ b/hyssopweir/task_transfers.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import json
+from collections import Counter
 from collections.abc import Iterator, Mapping
 
 from hyssopweir.background_tasks import BackgroundTasks
@@ -152,6 +153,8 @@
         # Keys of transferred tasks of this cell whose end is being or was reported.
         self._reporting: set[str] = set()
         self._reported: set[str] = set()
+        # By reason, the lost endless tasks that the last pass did not transfer.
+        self.kept_lost: Counter[str] = Counter()
 
     def close(self) -> None:
         """Cancel all writes in progress."""
@@ -166,6 +169,7 @@
         self._waiting_since_ms = {
             ref: self._waiting_since_ms.get(ref, now_ms) for ref in waiting
         }
+        self.kept_lost.clear()
         # Lost endless tasks come first, as in the placement in the own cell.
         for ref, (progress, step, task) in sorted(
             waiting.items(), key=lambda item: transfer_order(*item[1][1:])
@@ -173,6 +177,7 @@
             since_ms = max(self._waiting_since_ms[ref], progress.idle_since_ms(task))
             waited_ms = now_ms - since_ms
             if waited_ms < (ENDLESS_WAIT_MS if step.is_endless else WAIT_MS):
+                self._count_kept(step, task, "wait")
                 continue
             with self._state.guard(progress.key):
                 self._transfer_if_possible(progress, ref, step, task, waited_ms)
@@ -208,14 +213,25 @@
         hops = progress.hops() + 1
         row = build_transferred(progress.workflow, self._state.cell, ref, task, hops)
         if len(encode_workflow(row)) > MAX_ROW_BYTES:
+            self._count_kept(step, task, "row too long")
             return
         service = progress.workflow.service
         cell = self._free_workers.take(service, step)
         is_lost = step.is_endless and not task.is_unstarted()
-        if cell is None and is_lost and not can_ever_fit(service, step, self._state):
-            cell = self._free_workers.take_reclaimable(service, step)
+        fits_here = False
+        if cell is None and is_lost:
+            fits_here = can_ever_fit(service, step, self._state)
+            if not fits_here:
+                cell = self._free_workers.take_reclaimable(service, step)
         if cell is not None:
             self._transfer(progress, ref, task, cell, waited_ms)
+        else:
+            reason = "fits here later" if fits_here else "no capacity elsewhere"
+            self._count_kept(step, task, reason)
+
+    def _count_kept(self, step: Step, task: Task, reason: str) -> None:
+        if step.is_endless and not task.is_unstarted():
+            self.kept_lost[reason] += 1
 
     def _transfer(
         self,
