--- a/hyssopweir/cell_maintenance.py
+++ b/hyssopweir/cell_maintenance.py
@@ -11,7 +11,11 @@
 from hyssopweir.events import Event
 from hyssopweir.filler_pacing import FillerPacing
 from hyssopweir.job_transfers import JobTransfers
-from hyssopweir.placement_obstacles import MAX_REPORTS, describe_absent_tasks
+from hyssopweir.placement_obstacles import (
+    MAX_REPORTS,
+    describe_absent_tasks,
+    describe_waiting_jobs,
+)
 from hyssopweir.run_commands import RunCommands
 from hyssopweir.spare_capacity import describe_spare, spare_capacity
 from hyssopweir.stragglers import (
@@ -61,6 +65,8 @@
         self._checked_revisions: dict[str, int] = {}
         self._last_cleanup_ms: Millis = 0
         self._last_load_log_ms: Millis = 0
+        # Waiting jobs that were logged since all of them have been.
+        self._logged_jobs: set[str] = set()
 
     async def run(self) -> None:
         """Run the periodic checks until cancelled."""
@@ -78,6 +84,7 @@
             self._last_load_log_ms = now_ms
             self._log_load()
             self._log_absent_tasks(now_ms)
+            self._log_waiting_jobs(now_ms)
             if not self._state.interference_model.is_empty():
                 self._state.commits.mark(self._state.progress_key(INTERFERENCE_KEY))
         self._open_due()
@@ -125,6 +132,19 @@
                 Event.ENDLESS_TASK_AWAY, cell=self._state.cell, **fields
             )
 
+    def _log_waiting_jobs(self, now_ms: Millis) -> None:
+        """Log some of the jobs that wait with nothing running; all of them in turn."""
+        descriptions = describe_waiting_jobs(
+            self._state, self._scheduler.held_workers, now_ms
+        )
+        unlogged = (item for item in descriptions if item[0] not in self._logged_jobs)
+        logged = list(islice(unlogged, MAX_REPORTS))
+        for _, fields in logged:
+            self._state.log.emit(Event.JOB_WAITING, cell=self._state.cell, **fields)
+        self._logged_jobs.update(key for key, _ in logged)
+        if len(logged) < MAX_REPORTS:
+            self._logged_jobs.clear()
+
     def _open_due(self) -> None:
         wall_ms = self._state.clock.wall_ms()
         for job, progress in self._state.jobs.items():
--- a/hyssopweir/cell_scheduler.py
+++ b/hyssopweir/cell_scheduler.py
@@ -101,6 +101,10 @@
             left = load.reclaimable.minus(step.charge)
             self._held[load.entry.worker_id] = left
 
+    def held_workers(self) -> set[str]:
+        """Return the workers that are held for lost endless tasks."""
+        return set(self._held)
+
     def exclude_held(self) -> None:
         """Leave the held workers out of the rest of the pass."""
         if not self._held:
@@ -139,6 +143,8 @@
         self._tried_jobs: set[str] = set()
         # Jobs that the last pass has left to later ones.
         self.untried_jobs = 0
+        # Workers that the last pass has held for lost endless tasks.
+        self.held_workers: set[str] = set()
 
     async def run(self) -> None:
         """Run a placement pass whenever the state of the cell has changed."""
@@ -168,6 +174,7 @@
                 for ref, step, task in lost:
                     if task.is_waiting():
                         current.hold_worker(ref, progress.workflow.service, step)
+        self.held_workers = current.held_workers()
         current.exclude_held()
         for progress in self._jobs_within_bounds(jobs, current):
             with self._state.guard(progress.key):
--- a/hyssopweir/filler_interference.py
+++ b/hyssopweir/filler_interference.py
@@ -288,13 +288,50 @@
         worst = 0.0
         for victim, available in self.headroom(load).items():
             added_utilization = self.added_utilization(step, victim, load)
-            if added_utilization < MIN_ADDED_UTILIZATION and available > -MAX_LOAD_RISE:
+            if _is_negligible(added_utilization, available):
                 continue
             if added_utilization > available:
                 return float("inf")
             worst = max(worst, added_utilization / available)
         return worst
 
+    def describe_limit(
+        self, step: Step, load: WorkerLoad, now_ms: Millis
+    ) -> dict[str, Any]:
+        """Return event fields with the serving image that excludes a filler most."""
+        headrooms = self.headroom(load)
+        added = {
+            victim: self.added_utilization(step, victim, load) for victim in headrooms
+        }
+        victim = min(
+            (
+                image
+                for image in added
+                if not _is_negligible(added[image], headrooms[image])
+            ),
+            key=lambda image: headrooms[image] - added[image],
+        )
+        image_filter = self._filters.get(victim, UNOBSERVED)
+        measured_ms = image_filter.measured_ms.get(step.image)
+        return {
+            "beside": victim,
+            "worker": load.entry.worker_id,
+            "coefficient": round(image_filter.coefficient(step.image), 3),
+            "variance": round(image_filter.variance(step.image), 3),
+            "measured_ms_ago": -1 if measured_ms is None else now_ms - measured_ms,
+            "adds": round(added[victim], 3),
+            "headroom": round(headrooms[victim], 3),
+            "tail": round(load.tail_of(victim), 3),
+            "idle_tail_ms": round(
+                IDLE_SHARE_OF_MIN_TAIL * self._min_tail_ms.get(victim, 0.0), 1
+            ),
+        }
+
+
+def _is_negligible(added_utilization: float, available: float) -> bool:
+    """Return whether a filler can't be told from none and little is missing."""
+    return added_utilization < MIN_ADDED_UTILIZATION and available > -MAX_LOAD_RISE
+
 
 def _parse_image(value: Any) -> tuple[float, float, dict[str, tuple[float, float]]]:
     data = read_object(value, "image")
--- a/hyssopweir/interference_filter.py
+++ b/hyssopweir/interference_filter.py
@@ -49,6 +49,8 @@
     def __init__(self) -> None:
         self.coefficients: dict[str, float] = {}
         self.loads: dict[str, JobLoad] = {}
+        # Time of the last report of a task next to a filler of an image, for the log.
+        self.measured_ms: dict[str, Millis] = {}
         self._covariance: dict[str, dict[str, float]] = {}
         self._last_drift_ms: Millis | None = None
 
@@ -67,6 +69,11 @@
         row = self._covariance.get(image)
         return row is not None and row[image] < RELIABLE_VARIANCE
 
+    def variance(self, image: str) -> float:
+        """Return the variance of a coefficient, that of the prior without a report."""
+        row = self._covariance.get(image)
+        return INITIAL_VARIANCE if row is None else row[image]
+
     def baseline_load(self, job: str) -> float:
         """Return the utilization of a job's tasks without fillers, 0 to 1."""
         load = self.loads.get(job)
@@ -97,6 +104,7 @@
             if image not in self.coefficients:
                 self.coefficients[image] = INITIAL_COEFFICIENT
                 self._covariance[image] = {image: INITIAL_VARIANCE}
+            self.measured_ms[image] = now_ms
         self._apply_drift(now_ms)
         load = self._predict_load(job, now_ms)
         cross_covariances = {
--- a/hyssopweir/placement_obstacles.py
+++ b/hyssopweir/placement_obstacles.py
@@ -1,7 +1,7 @@
-"""Reasons why endless tasks do not run, per worker, for the log of a cell's owner."""
+"""Reasons why tasks and jobs do not run, per worker, for the log of a cell's owner."""
 
 from collections import Counter
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable, Iterator, Mapping, Set
 from typing import Any
 
 from hyssopweir.cell_state import CellState
@@ -14,8 +14,12 @@
 
 # Endless tasks that have not run for this time are reported.
 REPORT_AFTER_MS: Millis = 2_000
-# Bounds the number of log lines per cell and second.
+# Jobs that have had nothing running for this time are reported.
+JOB_REPORT_AFTER_MS: Millis = 3_000
+# Bounds the number of log lines of each kind per cell and second.
 MAX_REPORTS = 4
+# Bounds the serving images that a log line names.
+MAX_LIMITS = 3
 
 
 def describe_absent_tasks(state: CellState, now_ms: Millis) -> Iterator[dict[str, Any]]:
@@ -63,3 +67,75 @@
         ],
         "workers": {reason or "usable": count for reason, count in counts.items()},
     }
+
+
+def describe_waiting_jobs(
+    state: CellState, held: Set[str], now_ms: Millis
+) -> Iterator[tuple[str, dict[str, Any]]]:
+    """Yield the keys of jobs with nothing running and event fields for each.
+
+    ``workers`` counts the workers of the cell by the first reason that excludes them
+    from the job's first waiting task, ``limits`` has for the serving images that keep
+    a filler off workers the one with the most headroom.
+    """
+    loads = [link.load for link in state.links.values()]
+    for key in list(state.unplaced):
+        with state.guard(key):
+            progress = state.jobs[key]
+            if any(progress.runs()):
+                continue
+            waiting = list(progress.waiting())
+            if not waiting:
+                continue
+            ref, step, task = waiting[0]
+            waited_ms = now_ms - progress.idle_since_ms(task)
+            if waited_ms < JOB_REPORT_AFTER_MS:
+                continue
+            fields = _describe_job(progress, ref, step, loads, held, state, now_ms)
+            yield key, {**fields, "waiting": len(waiting), "waited_ms": waited_ms}
+
+
+def _describe_job(
+    progress: WorkflowProgress,
+    ref: TaskRef,
+    step: Step,
+    loads: Iterable[WorkerLoad],
+    held: Set[str],
+    state: CellState,
+    now_ms: Millis,
+) -> dict[str, Any]:
+    model = state.interference_model
+    counts: Counter[str] = Counter()
+    limits: dict[str, dict[str, Any]] = {}
+    for load in loads:
+        if load.entry.service != progress.workflow.service:
+            continue
+        reason = obstacle(ref, step, load, now_ms)
+        if not reason and load.entry.worker_id in held:
+            reason = "held"
+        is_possible = step.is_filler and not reason
+        if is_possible and model.headroom_fraction(step, load) == float("inf"):
+            reason = "interference"
+            limit = model.describe_limit(step, load, now_ms)
+            known = limits.setdefault(limit["beside"], limit)
+            if _missing(limit) < _missing(known):
+                limits[limit["beside"]] = limit
+        counts[reason or "usable"] += 1
+    return {
+        **ref.fields(),
+        "cpu": step.room.cpu,
+        "memory_mb": step.room.memory_mb,
+        "label": step.label,
+        "image": step.image,
+        "is_filler": step.is_filler,
+        "elsewhere": sum(
+            task.is_elsewhere for tasks in progress.tasks.values() for task in tasks
+        ),
+        "spare_runs": progress.spare_runs(state.links),
+        "workers": dict(counts),
+        "limits": list(limits.values())[:MAX_LIMITS],
+    }
+
+
+def _missing(limit: Mapping[str, Any]) -> float:
+    return float(limit["adds"] - limit["headroom"])
--- a/hyssopweir/worker_load.py
+++ b/hyssopweir/worker_load.py
@@ -155,6 +155,10 @@
         """Return the highest ratio of tail latency to target among the tasks."""
         return max(self._image_tails().values(), default=0.0)
 
+    def tail_of(self, image: str) -> float:
+        """Return the highest ratio of tail latency to target of one image's tasks."""
+        return self._image_tails().get(image, 0.0)
+
     def _image_tails(self) -> dict[str, float]:
         """Return the highest ratio of tail latency to target for each image.
 
