--- a/tests/agent_fakes.py
+++ b/tests/agent_fakes.py
@@ -238,7 +238,7 @@
                 run.ref,
                 run.saved,
                 self._percent(run, now_ms),
-                self.tail_ms if run.step.tail_target_ms else CPU_USE,
+                self.figure(run),
             )
             for run in self.running.values()
         ]
@@ -247,6 +247,10 @@
         clock_ms = now_ms - self.clock_start_ms
         return LeaseReply(clock_ms, self.born_ms, running, ended, is_partial)
 
+    def figure(self, run: LiveRun) -> float:
+        """Return the reported tail latency of a serving run, or the CPU use."""
+        return self.tail_ms if run.step.tail_target_ms else CPU_USE
+
     def _check_acknowledged(self, task: TaskRef, end_ms: Millis) -> None:
         """Check an acknowledged end unless a lease has lapsed since."""
         if end_ms < self.lapsed_ms:
--- /dev/null
+++ b/tests/test_filler_starts.py
@@ -0,0 +1,138 @@
+"""Fillers of images that disturb, or once did, next to serving tasks on all workers."""
+
+import pytest
+
+from hyssopweir.resources import Resources
+from hyssopweir.workflow_progress import WorkflowState
+from tests.cell_simulation import build_step, build_workflow
+from tests.shared_workers import SERVING, SharedSimulation
+from tests.virtual_time import run_virtual
+
+DONE = WorkflowState.COMPLETED
+# At this time after the end of traffic, each job must have run within the second time.
+FINISH_MS = 14_000
+IDLE_LIMIT_MS = 3_000
+# A serving task may not be over its target for this long because of fillers.
+HARM_LIMIT_MS = 4_000
+# Utilization that a worker full of fillers adds: such images are slowed down at once.
+DISTURBING, HARMLESS = 2.0, 0.1
+# Beside these, a task at the lowest speed alone takes a serving task over its target.
+OVERWHELMING = 8.0
+TRAINING_LIMIT_MS = 60_000
+# Short excesses next to slowed fillers, whose sum may not reach half of this time.
+OBSERVED_MS = 40_000
+# Six tasks of 4 s, of which the first ones run at the lowest speed until measured.
+RECOVERY_LIMIT_MS = 30_000
+FILLER = build_step(
+    6,
+    room=Resources(4_000, 1_000),
+    is_filler=True,
+    image="mix",
+    checkpoints=True,
+    estimated_ms=4_000,
+)
+
+
+async def learn_interference(seed: int, coefficient: float) -> SharedSimulation:
+    """Return a cell with serving tasks on all workers that has run a filling job."""
+    simulation = SharedSimulation(seed)
+    simulation.coefficients["mix"] = coefficient
+    await simulation.sleep_ms(1_000)
+    assert await simulation.submit(build_workflow("serving", SERVING))
+    await simulation.sleep_ms(4_000)
+    assert await simulation.submit(build_workflow("first", FILLER))
+    assert await simulation.until("first", DONE, TRAINING_LIMIT_MS)
+    await simulation.sleep_ms(2_000)
+    return simulation
+
+
+async def has_run(simulation: SharedSimulation, job: str, limit_ms: int) -> bool:
+    """Return whether a run of a job is at work at some moment within a time."""
+    end_ms = simulation.clock.now_ms() + limit_ms
+    while simulation.clock.now_ms() < end_ms:
+        if any(simulation.speeds(job)):
+            return True
+        await simulation.sleep_ms(50)
+    return await simulation.state(job) is DONE
+
+
+async def assert_runs_at_the_end(simulation: SharedSimulation, job: str) -> None:
+    """Check a job as the users do after the end of traffic."""
+    await simulation.sleep_ms(FINISH_MS)
+    assert await has_run(simulation, job, IDLE_LIMIT_MS)
+
+
+@pytest.mark.parametrize("seed", range(3))
+@pytest.mark.parametrize("tasks", [1, 24])
+def test_filler_that_fits_at_a_lower_speed_gets_to_run(tasks: int, seed: int) -> None:
+    """Guards against fillers that wait for good since they don't fit at full speed."""
+
+    async def main() -> None:
+        simulation = await learn_interference(seed, DISTURBING)
+        assert await simulation.submit(
+            build_workflow("waiting", FILLER._replace(tasks=tasks))
+        )
+        await assert_runs_at_the_end(simulation, "waiting")
+        assert simulation.longest_over_ms() < HARM_LIMIT_MS
+        assert simulation.work.breaches == []
+
+    run_virtual(main())
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_small_fillers_do_not_keep_a_large_one_from_running(seed: int) -> None:
+    """Guards against small fillers that take all headroom as it becomes free."""
+
+    async def main() -> None:
+        simulation = await learn_interference(seed, DISTURBING)
+        small = FILLER._replace(tasks=24, room=Resources(600, 100), estimated_ms=1_000)
+        large = FILLER._replace(room=Resources(6_000, 1_000))
+        assert await simulation.submit(build_workflow("large", large))
+        for number in range(FINISH_MS // 500):
+            assert await simulation.submit(build_workflow(f"small-{number}", small))
+            await simulation.sleep_ms(500)
+        assert await has_run(simulation, "large", IDLE_LIMIT_MS)
+        assert simulation.longest_over_ms() < HARM_LIMIT_MS
+        assert simulation.work.breaches == []
+
+    run_virtual(main())
+
+
+@pytest.mark.parametrize("seed", range(3))
+@pytest.mark.parametrize("coefficient", [DISTURBING, OVERWHELMING])
+def test_filler_whose_image_no_longer_disturbs_runs_and_is_done(
+    coefficient: float, seed: int
+) -> None:
+    """Guards against estimates of interference that are never measured again."""
+
+    async def main() -> None:
+        simulation = await learn_interference(seed, coefficient)
+        simulation.coefficients["mix"] = HARMLESS
+        assert await simulation.submit(build_workflow("waiting", FILLER))
+        await assert_runs_at_the_end(simulation, "waiting")
+        assert await simulation.until("waiting", DONE, RECOVERY_LIMIT_MS)
+        assert simulation.work.breaches == []
+
+    run_virtual(main())
+
+
+@pytest.mark.parametrize("seed", range(3))
+@pytest.mark.parametrize("coefficient", [DISTURBING, OVERWHELMING])
+def test_waiting_fillers_that_disturb_keep_no_task_over_its_target(
+    coefficient: float, seed: int
+) -> None:
+    """Guards against trials of an image that add up, or that are not ended in time."""
+
+    async def main() -> None:
+        simulation = await learn_interference(seed, coefficient)
+        before_ms = {w: w.total_over_ms for w in simulation.shared_workers()}
+        for number in range(12):
+            job = build_workflow(f"waiting-{number}", FILLER)
+            assert await simulation.submit(job)
+        await simulation.sleep_ms(OBSERVED_MS)
+        assert simulation.longest_over_ms() < HARM_LIMIT_MS
+        for worker, over_ms in before_ms.items():
+            assert worker.total_over_ms - over_ms < OBSERVED_MS / 2
+        assert simulation.work.breaches == []
+
+    run_virtual(main())
