--- a/hyssopweir/placement_obstacles.py
+++ b/hyssopweir/placement_obstacles.py
@@ -2,6 +2,7 @@
 
 from collections import Counter
 from collections.abc import Iterable, Iterator, Mapping, Set
+from itertools import chain
 from typing import Any
 
 from hyssopweir.cell_state import CellState
@@ -87,8 +88,9 @@
             waiting = list(progress.waiting())
             if not waiting:
                 continue
-            ref, step, task = waiting[0]
-            waited_ms = now_ms - progress.idle_since_ms(task)
+            ref, step, _ = waiting[0]
+            tasks = chain.from_iterable(progress.tasks.values())
+            waited_ms = now_ms - max(progress.idle_since_ms(task) for task in tasks)
             if waited_ms < JOB_REPORT_AFTER_MS:
                 continue
             fields = _describe_job(progress, ref, step, loads, held, state, now_ms)
--- a/tests/shared_workers.py
+++ b/tests/shared_workers.py
@@ -36,6 +36,7 @@
 
     # By image, the utilization that fillers on all of the worker add at full speed.
     coefficients: dict[str, float] = {}
+    own_load = OWN_LOAD
     load_phase = 0.0
     _advanced_ms: Millis = 0
 
@@ -77,7 +78,7 @@
         if not run.step.tail_target_ms:
             return run.step.room.cpu * self.paces.get(run.ref, 100) / 100
         turn = 2 * math.pi * self._clock.now_ms() / LOAD_PERIOD_MS
-        utilization = OWN_LOAD + LOAD_AMPLITUDE * math.sin(turn + self.load_phase)
+        utilization = self.own_load + LOAD_AMPLITUDE * math.sin(turn + self.load_phase)
         for other in self.running.values():
             if other.step.is_filler:
                 share = self.figure(other) / self.entry.room.cpu
--- a/tests/test_filler_starts.py
+++ b/tests/test_filler_starts.py
@@ -2,9 +2,11 @@
 
 import pytest
 
+from hyssopweir.events import Event
 from hyssopweir.resources import Resources
 from hyssopweir.workflow_progress import WorkflowState
 from tests.cell_simulation import build_step, build_workflow
+from tests.job_checks import events_of
 from tests.shared_workers import SERVING, SharedSimulation
 from tests.virtual_time import run_virtual
 
@@ -79,6 +81,28 @@
     run_virtual(main())
 
 
+def test_log_states_what_keeps_a_filler_from_all_workers() -> None:
+    """Guards against a log that can't tell interference from a usable worker."""
+
+    async def main() -> None:
+        simulation = await learn_interference(0, DISTURBING)
+        # Over their targets by themselves, the tasks leave no headroom at any speed.
+        for worker in simulation.shared_workers():
+            worker.own_load = 0.9
+        await simulation.sleep_ms(2_000)
+        assert await simulation.submit(build_workflow("waiting", FILLER))
+        await simulation.sleep_ms(4_500)
+        fields = events_of(simulation, Event.JOB_WAITING)[-1]
+        assert fields["workers"] == {"interference": SERVING.tasks}
+        assert fields["waited_ms"] >= IDLE_LIMIT_MS
+        limit = fields["limits"][0]
+        assert limit["beside"] == "web"
+        assert limit["adds"] > limit["headroom"]
+        assert limit["measured_ms_ago"] >= 0
+
+    run_virtual(main())
+
+
 @pytest.mark.parametrize("seed", range(3))
 def test_small_fillers_do_not_keep_a_large_one_from_running(seed: int) -> None:
     """Guards against small fillers that take all headroom as it becomes free."""
