Red test: lost task that is kept for the worker that ends last

hold_worker takes the worker with the most free capacity, whatever still runs there. In the test its other task takes 600 s, so that the lost lasting task waits for it; the other worker stays open to tasks of 0.7 to 1.3 s, which take each part that becomes free. Nothing bounds the wait but the longest task on the held worker.

--- /dev/null
+++ b/tests/test_states_without_end.py
@@ -0,0 +1,44 @@
+"""No state of the scheduler keeps work from a worker or a cell for good."""
+
+import pytest
+
+from hyssopweir.resources import Resources
+from tests.cell_simulation import (
+    CellSimulation,
+    build_entry,
+    build_step,
+    build_workflow,
+)
+from tests.test_starvation import LOST_LIMIT_MS, lose_worker, submit_backlog
+from tests.virtual_time import run_virtual
+
+
+def count_runs(simulation: CellSimulation, job: str) -> int:
+    """Return how many tasks of a job run on workers that are in reach."""
+    workers = [fake for fake in simulation.workers.values() if not fake.is_cut]
+    return sum(ref.task.job == job for fake in workers for ref in fake.running)
+
+
+@pytest.mark.parametrize("seed", range(2))
+def test_lost_task_is_not_kept_for_the_worker_that_ends_last(seed: int) -> None:
+    """Guards against a held worker with a long task, while others stay open."""
+
+    async def main() -> None:
+        simulation = CellSimulation(workers=1, seed=seed)
+        await simulation.sleep_ms(1_000)
+        endless = build_step(1, room=Resources(6_000, 1_000), is_endless=True)
+        assert await simulation.submit(build_workflow("endless", endless))
+        await simulation.sleep_ms(500)
+        for number in (1, 2):
+            simulation.add_worker(build_entry(number))
+        await simulation.sleep_ms(500)
+        long_step = build_step(1, room=Resources(3_000, 100), estimated_ms=600_000)
+        assert await simulation.submit(build_workflow("long", long_step))
+        await simulation.sleep_ms(200)
+        await submit_backlog(simulation, [f"b{n}" for n in range(400)])
+        await simulation.sleep_ms(1_000)
+        lose_worker(simulation, "w0")
+        await simulation.sleep_ms(LOST_LIMIT_MS)
+        assert count_runs(simulation, "endless") == 1
+
+    run_virtual(main())
