Red test: unusable worker that keeps lost tasks in their cell

A lost lasting task asks for what finite tasks use in other cells (reclaimable) only if no worker of its own cell could ever run it. can_ever_fit counts a worker that runs as many tasks of the step as it may, and a listed worker that has never replied. As long as one of them is there and the other cell is busy, the task waits: 13 s in the test.

--- a/tests/test_states_without_end.py
+++ b/tests/test_states_without_end.py
@@ -8,8 +8,14 @@
     build_entry,
     build_step,
     build_workflow,
+    job_ids_of_cell,
+)
+from tests.test_starvation import (
+    LOST_LIMIT_MS,
+    TRANSFER_MS,
+    lose_worker,
+    submit_backlog,
 )
-from tests.test_starvation import LOST_LIMIT_MS, lose_worker, submit_backlog
 from tests.virtual_time import run_virtual
 
 
@@ -42,3 +48,35 @@
         assert count_runs(simulation, "endless") == 1
 
     run_virtual(main())
+
+
+@pytest.mark.parametrize("seed", range(2))
+@pytest.mark.parametrize("is_silent", [False, True], ids=["limit", "silent"])
+def test_lost_task_beside_an_unusable_worker_gets_a_busy_one_elsewhere(
+    is_silent: bool, seed: int
+) -> None:
+    """Guards against lost tasks kept by a worker that can't take them.
+
+    It runs as many tasks of the step as it may, or is listed and never replies.
+    """
+
+    async def main() -> None:
+        simulation = CellSimulation(workers=4, cells=2, seed=seed)
+        simulation.workers["w2"].is_cut = is_silent
+        await simulation.sleep_ms(1_500)
+        endless = build_step(
+            1 if is_silent else 2,
+            room=Resources(4_000, 1_000),
+            is_endless=True,
+            most_per_worker=1,
+        )
+        job = job_ids_of_cell("c0", simulation, 1)[0]
+        assert await simulation.submit(build_workflow(job, endless))
+        await simulation.sleep_ms(500)
+        await submit_backlog(simulation, job_ids_of_cell("c1", simulation, 500))
+        await simulation.sleep_ms(1_000)
+        lose_worker(simulation, "w0")
+        await simulation.sleep_ms(LOST_LIMIT_MS + TRANSFER_MS)
+        assert count_runs(simulation, job) == endless.tasks
+
+    run_virtual(main())
