Red test: task that uses up its transfers

Heartbeats state free capacity, not the limit of a step. A lasting task that has no place in either cell because of antiAffinity is transferred to and fro until MAX_HOPS, and stays for good where it then is. A worker that joins the other cell later doesn't get it.

--- a/tests/test_states_without_end.py
+++ b/tests/test_states_without_end.py
@@ -18,6 +18,9 @@
 )
 from tests.virtual_time import run_virtual
 
+# Longer than any state with an end lasts: the longest ejection takes 12 s.
+ENDLESS_TEST_MS = 30_000
+
 
 def count_runs(simulation: CellSimulation, job: str) -> int:
     """Return how many tasks of a job run on workers that are in reach."""
@@ -80,3 +83,24 @@
         assert count_runs(simulation, job) == endless.tasks
 
     run_virtual(main())
+
+
+@pytest.mark.parametrize("seed", range(2))
+def test_transfers_to_cells_without_a_place_are_not_used_up(seed: int) -> None:
+    """Guards against a task that stays in its cell for good after eight transfers."""
+
+    async def main() -> None:
+        simulation = CellSimulation(workers=4, cells=2, seed=seed)
+        await simulation.sleep_ms(1_500)
+        job = job_ids_of_cell("c0", simulation, 1)[0]
+        step = build_step(
+            5, room=Resources(1_000, 100), is_endless=True, most_per_worker=1
+        )
+        assert await simulation.submit(build_workflow(job, step))
+        await simulation.sleep_ms(ENDLESS_TEST_MS)
+        assert count_runs(simulation, job) == 4
+        simulation.add_worker(build_entry(5, rack="r1"))
+        await simulation.sleep_ms(LOST_LIMIT_MS)
+        assert count_runs(simulation, job) == 5
+
+    run_virtual(main())
