Red test: waiting tasks without a place that close their cell

spare_capacity subtracts what waiting tasks require if a worker could ever fit them. That includes tasks beyond the limit of their step, and fillers that have no spare processor on any worker. Such work waits for good, and spare_cpu of its cell stays at or below 0: no whole job and no finite task of a full cell gets there.

--- a/tests/test_states_without_end.py
+++ b/tests/test_states_without_end.py
@@ -3,11 +3,14 @@
 import pytest
 
 from hyssopweir.resources import Resources
+from hyssopweir.workflow_progress import WorkflowState
+from hyssopweir.workflows import Step
 from tests.cell_simulation import (
     CellSimulation,
     build_entry,
     build_step,
     build_workflow,
+    fill_first_cell,
     job_ids_of_cell,
 )
 from tests.test_starvation import (
@@ -18,6 +21,7 @@
 )
 from tests.virtual_time import run_virtual
 
+DONE = WorkflowState.COMPLETED
 # Longer than any state with an end lasts: the longest ejection takes 12 s.
 ENDLESS_TEST_MS = 30_000
 
@@ -104,3 +108,29 @@
         assert count_runs(simulation, job) == 5
 
     run_virtual(main())
+
+
+# Steps with tasks that no worker of the second cell can run, though they fit there.
+UNPLACED_STEPS = {
+    "limit of the step": build_step(8, most_per_worker=1, is_endless=True),
+    "no spare processor": build_step(
+        2, room=Resources(12_000, 100), is_filler=True, image="mix"
+    ),
+}
+
+
+@pytest.mark.parametrize("waiting", UNPLACED_STEPS.values(), ids=UNPLACED_STEPS.keys())
+def test_waiting_tasks_without_a_place_leave_their_cell_open(waiting: Step) -> None:
+    """Guards against jobs of a full cell that wait next to a free one for good."""
+
+    async def main() -> None:
+        simulation = CellSimulation(workers=4, cells=2)
+        await fill_first_cell(simulation)
+        blocked = job_ids_of_cell("c1", simulation, 1)[0]
+        assert await simulation.submit(build_workflow(blocked, waiting))
+        await simulation.sleep_ms(2_000)
+        job = job_ids_of_cell("c0", simulation, 2)[1]
+        assert await simulation.submit(build_workflow(job, build_step(1)))
+        assert await simulation.until(job, DONE, ENDLESS_TEST_MS)
+
+    run_virtual(main())
