Red test: lost tasks without a worker that use up the offers of their cell

reclaimable_capacity subtracts each lost lasting task of the cell from the largest amount, also if its label, or the limit of its step, keeps it from all workers. In the test four such tasks leave nothing to offer, and the lost task of a full cell isn't transferred to workers that only finite tasks use.

--- a/tests/test_states_without_end.py
+++ b/tests/test_states_without_end.py
@@ -134,3 +134,33 @@
         assert await simulation.until(job, DONE, ENDLESS_TEST_MS)
 
     run_virtual(main())
+
+
+@pytest.mark.parametrize("seed", range(2))
+def test_lost_tasks_for_a_missing_label_use_up_no_offers(seed: int) -> None:
+    """Guards against lost tasks of two cells that keep each other waiting."""
+
+    async def main() -> None:
+        simulation = CellSimulation(workers=4, cells=2, seed=seed)
+        large = build_entry(
+            9, rack="r1", room=Resources(24_000, 32_000), labels=frozenset({"b"})
+        )
+        simulation.add_worker(large)
+        await simulation.sleep_ms(1_500)
+        job = job_ids_of_cell("c0", simulation, 1)[0]
+        endless = build_step(2, room=Resources(6_000, 1_000), is_endless=True)
+        assert await simulation.submit(build_workflow(job, endless))
+        labelled, *backlog = job_ids_of_cell("c1", simulation, 501)
+        step = build_step(4, room=Resources(4_000, 1_000), is_endless=True, label="b")
+        assert await simulation.submit(build_workflow(labelled, step))
+        await simulation.sleep_ms(500)
+        assert count_runs(simulation, labelled) == 4
+        lose_worker(simulation, "w9")
+        await simulation.sleep_ms(6_000)
+        await submit_backlog(simulation, backlog)
+        await simulation.sleep_ms(1_000)
+        lose_worker(simulation, "w0")
+        await simulation.sleep_ms(LOST_LIMIT_MS + TRANSFER_MS)
+        assert count_runs(simulation, job) == 2
+
+    run_virtual(main())
