Red test: filler without an image behind a plain task of its size

PlacementKey tells fillers from other tasks by their image only. Without one, a filler has the key of a plain task of the same size, which reserves processors that the filler doesn't need. If the plain task fits nowhere, passes skip the filler as well: 30 s in the test, for good beside lasting tasks.

--- a/tests/test_states_without_end.py
+++ b/tests/test_states_without_end.py
@@ -164,3 +164,17 @@
         assert count_runs(simulation, job) == 2
 
     run_virtual(main())
+
+
+def test_filler_without_image_is_not_kept_behind_a_task_of_its_size() -> None:
+    """Guards against a filler that counts as unplaceable like a task without room."""
+
+    async def main() -> None:
+        simulation = CellSimulation(workers=2)
+        await fill_first_cell(simulation)
+        assert await simulation.submit(build_workflow("plain", build_step(1)))
+        filler = build_step(1, is_filler=True)
+        assert await simulation.submit(build_workflow("filler", filler, priority=2))
+        assert await simulation.until("filler", DONE, ENDLESS_TEST_MS)
+
+    run_virtual(main())
