Red test: lasting filler that holds a worker for good

hold_worker keeps a worker for a lost lasting task if its reclaimable capacity fits. For a filler that is always the case, as it reserves no processors; whether it has spare processors there, or headroom, isn't asked. Beside lasting tasks it never starts, and the worker takes nothing else. In cells of up to 8 workers of a service that is one worker, in the test all of them.

--- a/tests/test_states_without_end.py
+++ b/tests/test_states_without_end.py
@@ -178,3 +178,27 @@
         assert await simulation.until("filler", DONE, ENDLESS_TEST_MS)
 
     run_virtual(main())
+
+
+def test_lasting_filler_without_spare_processor_holds_no_worker() -> None:
+    """Guards against a worker that is held for good for a task that it can't take."""
+
+    async def main() -> None:
+        simulation = CellSimulation(workers=1)
+        await simulation.sleep_ms(1_000)
+        room = Resources(6_000, 1_000)
+        filler = build_step(1, room=room, is_endless=True, is_filler=True, image="mix")
+        assert await simulation.submit(build_workflow("filler", filler))
+        await simulation.sleep_ms(500)
+        simulation.add_worker(build_entry(1, labels=frozenset({"b"})))
+        await simulation.sleep_ms(500)
+        endless = build_step(1, room=room, is_endless=True, label="b")
+        assert await simulation.submit(build_workflow("endless", endless))
+        await simulation.sleep_ms(500)
+        assert count_runs(simulation, "endless") == 1
+        lose_worker(simulation, "w0")
+        await simulation.sleep_ms(LOST_LIMIT_MS)
+        assert await simulation.submit(build_workflow("plain", build_step(1)))
+        assert await simulation.until("plain", DONE, ENDLESS_TEST_MS)
+
+    run_virtual(main())
