Red test: large urgent task behind small ones

Only lost lasting tasks hold a worker. A large task that has never run, or a finite one, finds each part that becomes free taken by small tasks, also of less urgent queues: they are spread over all workers. It starts when the small ones stop arriving.

--- a/tests/test_states_without_end.py
+++ b/tests/test_states_without_end.py
@@ -202,3 +202,23 @@
         assert await simulation.until("plain", DONE, ENDLESS_TEST_MS)
 
     run_virtual(main())
+
+
+def test_large_urgent_task_gets_a_worker_among_small_ones() -> None:
+    """Guards against a task that never fits as small ones take what becomes free."""
+
+    async def main() -> None:
+        simulation = CellSimulation(workers=4)
+        await simulation.sleep_ms(1_500)
+        # About 14 of 32 cores are in use.
+        small = build_step(1, room=Resources(1_000, 10), estimated_ms=1_000)
+        large = build_step(1, room=Resources(7_000, 1_000))
+        for number in range(500):
+            if number == 50:
+                assert await simulation.submit(build_workflow("large", large))
+            job = build_workflow(f"s{number}", small, priority=2)
+            assert await simulation.submit(job)
+            await simulation.sleep_ms(70)
+        assert await simulation.state("large") is DONE
+
+    run_virtual(main())
