Red test: lost tasks of a very wide job in a full cell

Tasks of jobs with more than 256 tasks are never transferred (MAX_JOB_TASKS), since each would cost the other owner a row of the whole job.

--- a/tests/test_states_without_end.py
+++ b/tests/test_states_without_end.py
@@ -222,3 +222,21 @@
         assert await simulation.state("large") is DONE
 
     run_virtual(main())
+
+
+def test_lost_tasks_of_a_very_wide_job_leave_their_full_cell() -> None:
+    """Guards against lost tasks that wait for good since their job has over 256."""
+
+    async def main() -> None:
+        simulation = CellSimulation(workers=4, cells=2)
+        await simulation.sleep_ms(1_500)
+        job = job_ids_of_cell("c0", simulation, 1)[0]
+        step = build_step(257, room=Resources(60, 10), is_endless=True)
+        assert await simulation.submit(build_workflow(job, step))
+        await simulation.sleep_ms(1_500)
+        assert count_runs(simulation, job) == 257
+        lose_worker(simulation, "w0")
+        await simulation.sleep_ms(LOST_LIMIT_MS + TRANSFER_MS)
+        assert count_runs(simulation, job) == 257
+
+    run_virtual(main())
