Red test: filler of a started job in a full cell

Single tasks of steps that fill are never transferred, since heartbeats don't state the capacity for them.

--- a/tests/test_states_without_end.py
+++ b/tests/test_states_without_end.py
@@ -240,3 +240,22 @@
         assert count_runs(simulation, job) == 257
 
     run_virtual(main())
+
+
+def test_filler_of_a_started_job_leaves_its_full_cell() -> None:
+    """Guards against fillers that wait for good next to a free cell."""
+
+    async def main() -> None:
+        simulation = CellSimulation(workers=4, cells=2)
+        await simulation.sleep_ms(1_500)
+        job, blocker = job_ids_of_cell("c0", simulation, 2)
+        room = Resources(2_000, 8_000)
+        filler = build_step(1, room=room, after=(0,), is_filler=True, image="mix")
+        first = build_step(1, estimated_ms=2_000)
+        assert await simulation.submit(build_workflow(job, first, filler))
+        await simulation.sleep_ms(300)
+        filling = build_step(2, room=Resources(1_000, 30_000), is_endless=True)
+        assert await simulation.submit(build_workflow(blocker, filling))
+        assert await simulation.until(job, DONE, ENDLESS_TEST_MS)
+
+    run_virtual(main())
