Red test: filler that is moved to a cell without memory

choose_destination looks at processors only, and a job is moved once. Its own cell has capacity again after 3 s. A plain job comes back task by task and is done.

--- a/tests/test_states_without_end.py
+++ b/tests/test_states_without_end.py
@@ -259,3 +259,26 @@
         assert await simulation.until(job, DONE, ENDLESS_TEST_MS)
 
     run_virtual(main())
+
+
+def test_filler_that_was_moved_to_a_cell_without_memory_runs() -> None:
+    """Guards against a move by free processors alone, which happens only once."""
+
+    async def main() -> None:
+        simulation = CellSimulation(workers=4, cells=2)
+        await simulation.sleep_ms(1_500)
+        job, short = job_ids_of_cell("c0", simulation, 2)
+        lasting = job_ids_of_cell("c1", simulation, 1)[0]
+        room = Resources(1_000, 30_000)
+        endless = build_step(2, room=room, is_endless=True)
+        assert await simulation.submit(build_workflow(lasting, endless))
+        finite = build_step(2, room=room, estimated_ms=3_000)
+        assert await simulation.submit(build_workflow(short, finite))
+        await simulation.sleep_ms(500)
+        filler = build_step(
+            1, room=Resources(1_000, 8_000), is_filler=True, image="mix"
+        )
+        assert await simulation.submit(build_workflow(job, filler))
+        assert await simulation.until(job, DONE, ENDLESS_TEST_MS)
+
+    run_virtual(main())
