Red test: scheduled job in a cell without its label

Jobs with due times aren't moved as a whole, and steps with a label not as single tasks, so that such a job waits for good if the hash of its id leads to a cell without the label. The same job without due times is moved, and runs.

--- a/tests/test_states_without_end.py
+++ b/tests/test_states_without_end.py
@@ -282,3 +282,20 @@
         assert await simulation.until(job, DONE, ENDLESS_TEST_MS)
 
     run_virtual(main())
+
+
+def test_scheduled_job_leaves_a_cell_without_its_label() -> None:
+    """Guards against a job that waits for good since it has due times."""
+
+    async def main() -> None:
+        simulation = CellSimulation(workers=4, cells=2)
+        for name in ("w1", "w3"):
+            worker = simulation.workers[name]
+            worker.entry = worker.entry._replace(labels=frozenset({"b"}))
+        await simulation.sleep_ms(1_500)
+        job = job_ids_of_cell("c0", simulation, 1)[0]
+        step = build_step(1, label="b")
+        assert await simulation.submit(build_workflow(job, step, occurrences=1))
+        assert await simulation.until(job, DONE, ENDLESS_TEST_MS)
+
+    run_virtual(main())
