Red test: lasting tasks that wait for space in their job's row

A job starts no more tasks than its progress row has space for, and further ones as others end (docs/platform.md, about 600). Lasting tasks don't end, so that the others wait for good. Jobs of up to 2,000 tasks are accepted.

--- a/tests/test_states_without_end.py
+++ b/tests/test_states_without_end.py
@@ -299,3 +299,17 @@
         assert await simulation.until(job, DONE, ENDLESS_TEST_MS)
 
     run_virtual(main())
+
+
+def test_all_lasting_tasks_of_a_wide_job_start() -> None:
+    """Guards against lasting tasks that wait for good for space in their job's row."""
+
+    async def main() -> None:
+        simulation = CellSimulation(workers=4)
+        await simulation.sleep_ms(1_500)
+        step = build_step(700, room=Resources(10, 10), is_endless=True)
+        assert await simulation.submit(build_workflow("wide", step))
+        await simulation.sleep_ms(ENDLESS_TEST_MS)
+        assert count_runs(simulation, "wide") == 700
+
+    run_virtual(main())
