Red test: job that is set aside for its long checkpoints

Checkpoints of up to 1,000 characters are read from workers, and the space that spare_runs counts for a task has none for them. 200 tasks with 500 characters each need a row of 106,193 bytes; the job is set aside, which shows it as failed without a failure.

--- a/tests/test_states_without_end.py
+++ b/tests/test_states_without_end.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from hyssopweir.events import Event
 from hyssopweir.resources import Resources
 from hyssopweir.workflow_progress import WorkflowState
 from hyssopweir.workflows import Step
@@ -13,6 +14,7 @@
     fill_first_cell,
     job_ids_of_cell,
 )
+from tests.job_checks import events_of
 from tests.test_starvation import (
     LOST_LIMIT_MS,
     TRANSFER_MS,
@@ -313,3 +315,23 @@
         assert count_runs(simulation, "wide") == 700
 
     run_virtual(main())
+
+
+def test_wide_job_with_long_checkpoints_is_not_failed() -> None:
+    """Guards against a job that is set aside as failed when its row is too large."""
+
+    async def main() -> None:
+        simulation = CellSimulation(workers=4)
+        await simulation.sleep_ms(1_500)
+        room = Resources(100, 10)
+        wide = build_step(200, room=room, estimated_ms=20_000, checkpoints=True)
+        short = build_step(1, room=room, estimated_ms=4_000)
+        assert await simulation.submit(build_workflow("wide", wide, short))
+        await simulation.sleep_ms(2_000)
+        for worker in simulation.workers.values():
+            for ref, run in worker.running.items():
+                worker.running[ref] = run._replace(saved="0" * 500)
+        assert await simulation.until("wide", DONE, 2 * ENDLESS_TEST_MS)
+        assert not events_of(simulation, Event.JOB_SET_ASIDE)
+
+    run_virtual(main())
