Red test: occurrence behind a window of lasting ones

At most 64 occurrences of a job are open, fewer of a wide one; others open as earlier ones end. Occurrences with lasting tasks don't end, so that the others never run.

--- a/tests/test_states_without_end.py
+++ b/tests/test_states_without_end.py
@@ -335,3 +335,18 @@
         assert not events_of(simulation, Event.JOB_SET_ASIDE)
 
     run_virtual(main())
+
+
+def test_occurrence_behind_a_window_of_lasting_ones_opens() -> None:
+    """Guards against occurrences that wait for good for the end of lasting ones."""
+
+    async def main() -> None:
+        simulation = CellSimulation(workers=4)
+        await simulation.sleep_ms(1_500)
+        step = build_step(1, room=Resources(100, 10), is_endless=True)
+        job = build_workflow("repeated", step, occurrences=65)
+        assert await simulation.submit(job)
+        await simulation.sleep_ms(ENDLESS_TEST_MS)
+        assert count_runs(simulation, "repeated") == 65
+
+    run_virtual(main())
