Red test: slow task that is stopped without end

A run without a higher percentage for 2.5 s, or a fifth of its estimate, is stopped and its worker paused for 3 s. A task that needs more than 250 s, with an estimate of up to 12.5 s, never gets to the first percent. Such stops don't count as failures, so that it is never given up. It makes progress only if it saves its work.

--- a/tests/test_states_without_end.py
+++ b/tests/test_states_without_end.py
@@ -350,3 +350,18 @@
         assert count_runs(simulation, "repeated") == 65
 
     run_virtual(main())
+
+
+def test_slow_task_with_a_low_estimate_is_not_stopped_without_end() -> None:
+    """Guards against runs that never get to 1% before they count as stalled."""
+
+    async def main() -> None:
+        simulation = CellSimulation(workers=4)
+        await simulation.sleep_ms(1_500)
+        step = build_step(1, estimated_ms=12_000)
+        assert await simulation.submit(build_workflow("slow", step))
+        simulation.work.steps["slow"] = (step._replace(estimated_ms=300_000),)
+        await simulation.sleep_ms(300_000 + ENDLESS_TEST_MS)
+        assert await simulation.state("slow") is DONE
+
+    run_virtual(main())
