Red test: lowest tail latency that is never corrected

The utilization of a serving task is derived from the lowest tail latency ever reported for its image (_min_tail_ms). It never rises, and is stored for the next owner. One report of 1 ms makes a tail of 15 ms, with a target of 50 ms, look like a utilization of 95%, which excludes fillers from all workers with the image for good.

--- a/tests/test_states_without_end.py
+++ b/tests/test_states_without_end.py
@@ -365,3 +365,23 @@
         assert await simulation.state("slow") is DONE
 
     run_virtual(main())
+
+
+def test_one_low_tail_latency_keeps_no_fillers_away_for_good() -> None:
+    """Guards against a lowest tail latency that no later report corrects."""
+
+    async def main() -> None:
+        simulation = CellSimulation(workers=1)
+        await simulation.sleep_ms(1_500)
+        worker = simulation.workers["w0"]
+        worker.tail_ms = 1.0
+        serving = build_step(1, is_endless=True, image="shop", tail_target_ms=50)
+        assert await simulation.submit(build_workflow("serving", serving))
+        await simulation.sleep_ms(1_500)
+        worker.tail_ms = 15.0
+        await simulation.sleep_ms(5_000)
+        filler = build_step(1, is_filler=True, image="mix")
+        assert await simulation.submit(build_workflow("filler", filler))
+        assert await simulation.until("filler", DONE, 10 * ENDLESS_TEST_MS)
+
+    run_virtual(main())
