Red test: failing lasting task that keeps its worker

A lasting task that fails is started again at once, before all other work, and without a limit of attempts. If it fails each time within 0.1 s, a task that doesn't fit beside it never starts: 30 s in the test. Its failures don't eject the worker, since they are of one job.

--- a/tests/test_states_without_end.py
+++ b/tests/test_states_without_end.py
@@ -385,3 +385,27 @@
         assert await simulation.until("filler", DONE, 10 * ENDLESS_TEST_MS)
 
     run_virtual(main())
+
+
+def test_failing_lasting_task_leaves_its_worker_to_others() -> None:
+    """Guards against a task that is started again at once after each failure."""
+
+    async def main() -> None:
+        simulation = CellSimulation(workers=1)
+        await simulation.sleep_ms(1_500)
+        worker = simulation.workers["w0"]
+        endless = build_step(1, room=Resources(6_000, 1_000), is_endless=True)
+        assert await simulation.submit(build_workflow("failing", endless))
+        await simulation.sleep_ms(300)
+        plain = build_step(1, room=Resources(4_000, 1_000))
+        accepted_ms = simulation.clock.wall_ms()
+        job = build_workflow("plain", plain, accepted_ms=accepted_ms)
+        assert await simulation.submit(job)
+        for _ in range(ENDLESS_TEST_MS // 100):
+            await simulation.sleep_ms(100)
+            for ref in list(worker.running):
+                if ref.task.job == "failing":
+                    worker.fail(ref.task)
+        assert await simulation.state("plain") is DONE
+
+    run_virtual(main())
