Red test: filler that stays stopped after an overload

All fillers of a worker are stopped after an overload of 1.5 s until the tail falls below 80% of its target, also if the tail of the task's own load is at 80% to 95% and the filler's image doesn't disturb. A filler without checkpoints isn't moved, so that it stays stopped as long as that load lasts.

--- a/tests/test_states_without_end.py
+++ b/tests/test_states_without_end.py
@@ -3,6 +3,8 @@
 import pytest
 
 from hyssopweir.events import Event
+from hyssopweir.filler_interference import FillerInterference
+from hyssopweir.filler_pacing import FillerPacing
 from hyssopweir.resources import Resources
 from hyssopweir.workflow_progress import WorkflowState
 from hyssopweir.workflows import Step
@@ -21,6 +23,7 @@
     lose_worker,
     submit_backlog,
 )
+from tests.test_step_placement import FILLER, add_run, build_load, set_estimates
 from tests.virtual_time import run_virtual
 
 DONE = WorkflowState.COMPLETED
@@ -409,3 +412,19 @@
         assert await simulation.state("plain") is DONE
 
     run_virtual(main())
+
+
+def test_stopped_filler_goes_on_beside_a_task_within_its_target() -> None:
+    """Guards against a harmless filler that stays stopped after an overload."""
+    load, interference = build_load(), FillerInterference()
+    filler = add_run(load, FILLER._replace(checkpoints=False), 1)
+    filler.figure = 2_000
+    server = set_estimates(interference, load, 0.8, 0.0)
+    pacing = FillerPacing(interference)
+    for now_ms in range(5_000, 605_000, 100):
+        server.figure = 60.0 if now_ms < 8_000 else 42.0
+        load.mark_changed()
+        for change in pacing.decide(load, now_ms):
+            assert change.percent is not None
+            filler.pace, filler.changed_ms = change.percent, now_ms
+    assert filler.pace > 0
