Red test: lost start whose stop is refused

A start without a reply keeps its task until the worker has accepted a stop. A worker that renews its lease and answers each stop with 503 keeps it for good: 60 s in the test, beside an idle worker, though no list shows the run and the lease that the start carried has long expired.

--- a/tests/test_states_without_end.py
+++ b/tests/test_states_without_end.py
@@ -2,12 +2,14 @@
 
 import pytest
 
+from hyssopweir.agents import CommandResult
 from hyssopweir.events import Event
 from hyssopweir.filler_interference import FillerInterference
 from hyssopweir.filler_pacing import FillerPacing
 from hyssopweir.resources import Resources
 from hyssopweir.workflow_progress import WorkflowState
 from hyssopweir.workflows import Step
+from tests.agent_fakes import ProxyAnswer
 from tests.cell_simulation import (
     CellSimulation,
     build_entry,
@@ -428,3 +430,22 @@
             assert change.percent is not None
             filler.pace, filler.changed_ms = change.percent, now_ms
     assert filler.pace > 0
+
+
+def test_start_without_a_reply_does_not_wait_for_a_refused_stop() -> None:
+    """Guards against a task that waits for good for a worker that refuses its stop."""
+
+    async def main() -> None:
+        simulation = CellSimulation(workers=1)
+        await simulation.sleep_ms(1_500)
+        refusal = ProxyAnswer(CommandResult.UNHEALTHY, None)
+        for instance in simulation.instances:
+            # The start is lost, so that no list of the worker shows the run.
+            instance.agent.start_answers["w0"] = [ProxyAnswer(None, None)]
+            instance.agent.stop_answers["w0"] = [refusal] * 1_000
+        assert await simulation.submit(build_workflow("lost", build_step(1)))
+        await simulation.sleep_ms(500)
+        simulation.add_worker(build_entry(1))
+        assert await simulation.until("lost", DONE, 2 * ENDLESS_TEST_MS)
+
+    run_virtual(main())
