--- a/tests/agent_fakes.py
+++ b/tests/agent_fakes.py
@@ -276,6 +276,7 @@
         self._clock = clock
         self._random = Random(seed)
         self.is_cut = False
+        self.poll_ms = POLL_MS
         # Workers that this instance alone can't reach.
         self.cut_workers: set[str] = set()
         # Workers whose process has ended, and what their machine replies.
@@ -418,7 +419,7 @@
         while self._clock.now_ms() < limit_ms:
             if isinstance(reply, CommandResult) or reply.ended:
                 break
-            await self._clock.sleep_ms(POLL_MS)
+            await self._clock.sleep_ms(self.poll_ms)
             is_lost = worker.worker_id in self.cut_workers | self.gone_workers
             if fake.lives != life or is_lost:
                 # A restart of the worker closes the connection; a cut loses the reply.
