Hold a worker for each lost lasting task, the longest away first

Cause: at most an eighth of the workers of a service was held, the one with the most free capacity now, whatever runs there; tasks were started in the order of the age of their jobs, and small ones took what became free on a held worker. Heartbeats offered the capacity of held workers, and a lost task was only transferred to reclaimable capacity if no worker of its cell could ever run it, silent and unsuitable ones counted. Heartbeats leave out what is kept, what was given to a transferred task counts for 1 s more, and the tasks for which no worker is held are those that are transferred to reclaimable capacity.

--- a/hyssopweir/cell_maintenance.py
+++ b/hyssopweir/cell_maintenance.py
@@ -160,7 +160,7 @@
             excluded=Counter(filter(None, (load.exclusion(now_ms) for load in loads))),
             held_workers=len(held),
             held=describe_held(self._state, held, now_ms),
-            unheld=dict(self._scheduler.unheld),
+            unheld=len(self._state.unheld_tasks),
             kept=dict(self._task_transfers.kept_lost),
             reclaimable={
                 service: [[free.cpu, free.memory_mb] for free in amounts]
--- a/hyssopweir/cell_scheduler.py
+++ b/hyssopweir/cell_scheduler.py
@@ -1,6 +1,5 @@
 """Placement of waiting tasks, ordered by the urgency of their jobs."""
 
-from collections import Counter
 from collections.abc import Iterable, Iterator, Mapping, Sequence, Set
 from operator import itemgetter
 from typing import NamedTuple
@@ -9,13 +8,12 @@
 from hyssopweir.cell_state import CellState
 from hyssopweir.clock import Millis
 from hyssopweir.events import Event
+from hyssopweir.held_workers import HeldWorkers
 from hyssopweir.resources import Resources
 from hyssopweir.run_commands import RunCommands
 from hyssopweir.step_placement import (
     WorkerRanking,
-    can_fit_later,
     choose_worker_for_step,
-    has_place_in_step,
     rank_workers,
 )
 from hyssopweir.task_state import Run, Task, TaskRef
@@ -28,12 +26,11 @@
 # several passes, with the second number of such rankings in each.
 MAX_FAILED_RANKINGS = 24
 MAX_FAILED_RANKINGS_BEHIND = 8
-# At most this share of the workers of a service is kept free for lost endless tasks.
-MAX_HELD_SHARE = 0.125
 # Sorts jobs without an end after all others.
 UNBOUNDED_WORK = 1 << 60
 # Less than any task needs, also one that reserves nothing.
 NO_CAPACITY = Resources(-1, -1, -1)
+LostTask = tuple[TaskRef, Step, Task]
 # Bounds the CPU use of the scheduler while there are tasks that do not fit.
 PASS_INTERVAL_MS: Millis = 20
 
@@ -68,55 +65,16 @@
         # Rankings of all workers that yielded none for a task.
         self.failed_rankings = 0
         self._largest_free: dict[tuple[str, str], Resources] = {}
-        # By worker that is held for lost endless tasks, the capacity left for others
-        # of them.
-        self._held: dict[str, Resources] = {}
-        # By reason, the lost endless tasks for which no worker is held.
-        self.unheld: Counter[str] = Counter()
-
-    def hold_worker(self, ref: TaskRef, service: str, step: Step) -> None:
-        """Keep other tasks off a worker until a lost endless task fits there.
-
-        Otherwise smaller tasks would take each part of its capacity that becomes free.
-        """
-        workers = self.loads.get(service, ())
-        held_ids = [
-            load.entry.worker_id
-            for load in workers
-            if load.entry.worker_id in self._held
-        ]
-        for worker_id in held_ids:
-            left = self._held[worker_id]
-            if left.can_fit(step.charge):
-                self._held[worker_id] = left.minus(step.charge)
-                return
-        if len(held_ids) >= max(MAX_HELD_SHARE * len(workers), 1):
-            self.unheld["limit"] += 1
-            return
-        candidates = [
-            load
-            for load in workers
-            if load.entry.worker_id not in self._held
-            and can_fit_later(step, load)
-            and has_place_in_step(ref, step, load)
-        ]
-        if candidates:
-            load = max(candidates, key=lambda load: load.free)
-            left = load.reclaimable.minus(step.charge)
-            self._held[load.entry.worker_id] = left
-        else:
-            self.unheld["no worker fits"] += 1
-
-    def held_ids(self) -> list[str]:
-        """Return the workers that are held, the first one for the most urgent task."""
-        return list(self._held)
+        self.held = HeldWorkers(loads, now_ms)
 
     def exclude_held(self) -> None:
         """Leave the held workers out of the rest of the pass."""
-        if not self._held:
+        if not self.held.kept:
             return
         self.loads = {
-            service: [load for load in loads if load.entry.worker_id not in self._held]
+            service: [
+                load for load in loads if load.entry.worker_id not in self.held.kept
+            ]
             for service, loads in self.loads.items()
         }
 
@@ -151,8 +109,6 @@
         self.untried_jobs = 0
         # By worker that the last pass has held, since when passes have done so.
         self.held_since_ms: dict[str, Millis] = {}
-        # By reason, the lost endless tasks for which the last pass held no worker.
-        self.unheld: Counter[str] = Counter()
 
     async def run(self) -> None:
         """Run a placement pass whenever the state of the cell has changed."""
@@ -173,21 +129,10 @@
         new_runs: list[tuple[Run, AgentLink]] = []
         jobs = self._jobs_by_urgency()
         # Lost endless tasks of all jobs go before tasks that have never run.
-        for progress in jobs:
-            with self._state.guard(progress.key):
-                lost = progress.lost_endless_tasks()
-                new_runs.extend(self._place_tasks(progress, lost, current))
-                lost = [entry for entry in lost if entry[2].is_waiting()]
-                new_runs.extend(self._place_tasks(progress, lost, last_resort_pass))
-                for ref, step, task in lost:
-                    if task.is_waiting():
-                        current.hold_worker(ref, progress.workflow.service, step)
+        new_runs.extend(self._place_lost_tasks(jobs, current, last_resort_pass))
+        self._state.kept_capacity = dict(current.held.kept)
+        self._record_held(current.held, now_ms)
         current.exclude_held()
-        self.held_since_ms = {
-            worker_id: self.held_since_ms.get(worker_id, now_ms)
-            for worker_id in current.held_ids()
-        }
-        self.unheld = current.unheld
         for progress in self._jobs_within_bounds(jobs, current):
             with self._state.guard(progress.key):
                 if not is_unplaceable(progress, current.unplaceable):
@@ -198,6 +143,67 @@
         if new_runs:
             self._commands.start_when_stored(new_runs)
 
+    def _record_held(self, held: HeldWorkers, now_ms: Millis) -> None:
+        self.held_since_ms = {
+            worker_id: self.held_since_ms.get(worker_id, now_ms)
+            for worker_id in held.kept
+        }
+
+    def _place_lost_tasks(
+        self,
+        jobs: Iterable[WorkflowProgress],
+        current: PlacementPass,
+        last_resort: PlacementPass,
+    ) -> Iterator[tuple[Run, AgentLink]]:
+        """Start lost endless tasks, the longest away first, or hold workers for them.
+
+        What is kept for one of them is not available to those that come later.
+        """
+        lost: list[tuple[Millis, WorkflowProgress, LostTask]] = []
+        for progress in jobs:
+            with self._state.guard(progress.key):
+                lost.extend(
+                    (progress.idle_since_ms(task), progress, (ref, step, task))
+                    for ref, step, task in progress.lost_endless_tasks()
+                )
+        lost.sort(key=itemgetter(0))
+        unheld: dict[TaskRef, tuple[str, Step]] = {}
+        for _, progress, (ref, step, task) in lost:
+            with self._state.guard(progress.key):
+                service = progress.workflow.service
+                load = self._choose_for_lost(ref, service, step, task, current)
+                if load is None:
+                    load = self._choose_for_lost(ref, service, step, task, last_resort)
+                if load is not None:
+                    yield self._record_run(progress, ref, step, load, current.now_ms)
+                    self._state.commits.mark(self._state.progress_key(progress.key))
+                elif current.held.hold_for(ref, service, step) is None:
+                    unheld[ref] = service, step
+        self._state.unheld_tasks = unheld
+
+    def _choose_for_lost(
+        self,
+        ref: TaskRef,
+        service: str,
+        step: Step,
+        task: Task,
+        current: PlacementPass,
+    ) -> WorkerLoad | None:
+        key = placement_key(service, step)
+        if key in current.unplaceable or not current.may_fit(service, step):
+            return None
+        load = choose_worker_for_step(
+            ref,
+            step,
+            task,
+            current.held.workers_with_capacity(service, step.charge),
+            self._state.interference_model,
+            current.now_ms,
+        )
+        if load is None and not step.most_per_worker:
+            current.unplaceable.add(key)
+        return load
+
     def _jobs_within_bounds(
         self, jobs: Sequence[WorkflowProgress], current: PlacementPass
     ) -> Iterator[WorkflowProgress]:
--- a/hyssopweir/cell_state.py
+++ b/hyssopweir/cell_state.py
@@ -1,7 +1,7 @@
 """In-memory state of a cell's owner: jobs, worker links and rows to be stored."""
 
 import asyncio
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Callable, Iterable, Iterator, Mapping
 from types import TracebackType
 
 from hyssopweir.agent_link import AgentLink
@@ -10,6 +10,7 @@
 from hyssopweir.events import Event, EventLog
 from hyssopweir.filler_interference import FillerInterference
 from hyssopweir.input_bounds import FaultLog, describe_fault
+from hyssopweir.resources import Resources
 from hyssopweir.row_commits import OwnershipLostError, RowCommits
 from hyssopweir.row_store import RowKey
 from hyssopweir.task_state import Run, Task, TaskRef
@@ -85,6 +86,10 @@
         self.transferred: dict[str, TransferredJob] = {}
         # Keys of the tasks that other cells transferred to this one.
         self._received: dict[TaskRef, str] = {}
+        # What the last placement pass kept on workers for endless tasks of the cell,
+        # and the lost ones for which it found no worker, with their service.
+        self.kept_capacity: Mapping[str, Resources] = {}
+        self.unheld_tasks: Mapping[TaskRef, tuple[str, Step]] = {}
         # Jobs that may have unplaced tasks.
         self.unplaced: set[str] = set()
         self.wake = asyncio.Event()
--- a/hyssopweir/spare_capacity.py
+++ b/hyssopweir/spare_capacity.py
@@ -10,6 +10,7 @@
 from hyssopweir.cell_state import CellState
 from hyssopweir.resources import Resources
 from hyssopweir.step_placement import can_fit_later
+from hyssopweir.worker_load import WorkerLoad
 from hyssopweir.workflows import Step
 
 # Workers whose free capacity a heartbeat states at least, about 20 bytes each.
@@ -23,10 +24,11 @@
     for link in state.links.values():
         load, service = link.load, link.entry.service
         if load.is_confirmed and load.is_listed:
-            free_cpu[service] += max(load.free.cpu, 0)
+            left = load.free.minus(kept_on(load, state))
+            free_cpu[service] += max(left.cpu, 0)
             free = free_by_service.setdefault(service, [])
             if load.accepts_tasks(state.now_ms()):
-                free.append(load.free)
+                free.append(left)
     capacities = {
         service: SpareCapacity(free_cpu[service], largest=largest_free(free))
         for service, free in free_by_service.items()
@@ -52,22 +54,21 @@
 def reclaimable_capacity(state: CellState) -> dict[str, tuple[Resources, ...]]:
     """Compute by service what lost endless tasks of other cells could get here.
 
-    The lost tasks of this cell go first, each on the worker with most.
+    The lost tasks of this cell go first, on the workers that are held for them.
     """
     amounts: dict[str, list[Resources]] = {}
     for link in state.links.values():
         if link.load.accepts_tasks(state.now_ms()):
-            service = amounts.setdefault(link.entry.service, [])
-            service.append(link.load.reclaimable)
-    for job in list(state.unplaced):
-        with state.guard(job):
-            progress = state.jobs[job]
-            left = amounts.get(progress.workflow.service, [])
-            for _, step, _ in progress.lost_endless_tasks():
-                subtract_from_largest(left, step.charge)
+            left = link.load.reclaimable.minus(kept_on(link.load, state))
+            amounts.setdefault(link.entry.service, []).append(left)
     return {service: largest_free(left) for service, left in amounts.items()}
 
 
+def kept_on(load: WorkerLoad, state: CellState) -> Resources:
+    """Return the capacity of a worker that is kept for endless tasks of the cell."""
+    return state.kept_capacity.get(load.entry.worker_id, Resources())
+
+
 def subtract_from_largest(amounts: list[Resources], charge: Resources) -> bool:
     """Subtract a charge from the largest amount that fits it; return False if none."""
     fitting = [index for index, left in enumerate(amounts) if left.can_fit(charge)]
--- a/hyssopweir/task_transfers.py
+++ b/hyssopweir/task_transfers.py
@@ -11,6 +11,7 @@
 import json
 from collections import Counter
 from collections.abc import Iterator, Mapping
+from typing import NamedTuple
 
 from hyssopweir.background_tasks import BackgroundTasks
 from hyssopweir.cell_heartbeats import CellHeartbeats, Heartbeat, SpareCapacity
@@ -21,7 +22,7 @@
 from hyssopweir.input_bounds import InputError, input_errors, parse_bounded_json
 from hyssopweir.resources import Resources
 from hyssopweir.row_store import MAX_ROW_BYTES, StoredRow
-from hyssopweir.spare_capacity import can_ever_fit, subtract_from_largest
+from hyssopweir.spare_capacity import subtract_from_largest
 from hyssopweir.task_state import (
     TASK_SEPARATOR,
     Task,
@@ -41,6 +42,11 @@
 # The own cell has this long to find capacity. A worker that refused a start is paused
 # for 1 s, and must not be taken for one without capacity.
 ENDLESS_WAIT_MS: Millis = 1_500
+# A lost endless task for which its cell holds a worker is transferred only after this
+# time: capacity that was free there a moment ago has often been used on its arrival.
+HELD_WAIT_MS: Millis = 4_000
+# Heartbeats show a transferred task within this time.
+ARRIVAL_MS: Millis = 1_000
 # Other tasks release their capacity, so that a cell is rarely full for longer.
 WAIT_MS: Millis = 2_000
 # A job that no other cell has taken as a whole by then is transferred task by task.
@@ -67,19 +73,39 @@
         self.workers = list(capacity.largest)
 
 
+class TakenCapacity(NamedTuple):
+    """Capacity of another cell that was given out; ``arrives_ms`` is the latest time.
+
+    It was free, or reclaimable from the finite tasks of the cell.
+    """
+
+    cell: str
+    service: str
+    charge: Resources
+    is_reclaimable: bool
+    arrives_ms: Millis
+
+
 class FreeWorkers:
     """Largest free capacities on workers of other cells, less what was given out.
 
-    A heartbeat is counted once, so that two passes do not use the same capacity.
+    A heartbeat is counted once, and what was given out shortly before it is subtracted
+    again, so that two passes do not use the same capacity.
     """
 
     def __init__(self) -> None:
         self._versions: dict[str, int] = {}
         self._free: dict[str, dict[str, FreeCapacity]] = {}
         self._reclaimable: dict[str, dict[str, list[Resources]]] = {}
+        self._taken: list[TakenCapacity] = []
+        self._now_ms: Millis = 0
 
-    def update(self, own: str, heartbeats: Mapping[str, Heartbeat]) -> None:
+    def update(
+        self, own: str, heartbeats: Mapping[str, Heartbeat], now_ms: Millis
+    ) -> None:
         """Replace the capacities of all other cells that have a newer heartbeat."""
+        self._now_ms = now_ms
+        self._taken = [taken for taken in self._taken if taken.arrives_ms > now_ms]
         for cell, heartbeat in heartbeats.items():
             if cell == own or self._versions.get(cell) == heartbeat.version:
                 continue
@@ -92,6 +118,25 @@
             self._free[cell] = {
                 service: FreeCapacity(capacity) for service, capacity in rooms.items()
             }
+            for taken in self._taken:
+                if taken.cell == cell:
+                    self._subtract(taken)
+
+    def _subtract(self, taken: TakenCapacity) -> None:
+        if taken.is_reclaimable:
+            amounts = self._reclaimable[taken.cell].get(taken.service, [])
+            subtract_from_largest(amounts, taken.charge)
+            return
+        capacity = self._free[taken.cell].get(taken.service)
+        if capacity is not None:
+            capacity.spare_cpu -= taken.charge.cpu
+            subtract_from_largest(capacity.workers, taken.charge)
+
+    def _take(self, cell: str, service: str, step: Step, is_reclaimable: bool) -> None:
+        arrives_ms = self._now_ms + ARRIVAL_MS
+        taken = TakenCapacity(cell, service, step.charge, is_reclaimable, arrives_ms)
+        self._taken.append(taken)
+        self._subtract(taken)
 
     def take(self, service: str, step: Step) -> str | None:
         """Reserve capacity for a task; return its cell, None if no worker has it.
@@ -100,19 +145,17 @@
         Other tasks are not, so they need capacity that no task there waits for.
         """
         candidates = [
-            (free.cpu, cell, index)
+            (free.cpu, cell)
             for cell, services in self._free.items()
             if (capacity := services.get(service)) is not None
             and (step.is_endless or capacity.spare_cpu >= step.charge.cpu)
-            for index, free in enumerate(capacity.workers)
+            for free in capacity.workers
             if free.can_fit(step.charge)
         ]
         if not candidates:
             return None
-        _, cell, index = max(candidates)
-        capacity = self._free[cell][service]
-        capacity.spare_cpu -= step.charge.cpu
-        capacity.workers[index] = capacity.workers[index].minus(step.charge)
+        _, cell = max(candidates)
+        self._take(cell, service, step, is_reclaimable=False)
         return cell
 
     def take_reclaimable(self, service: str, step: Step) -> str | None:
@@ -134,7 +177,7 @@
         if not candidates:
             return None
         _, cell = max(candidates)
-        subtract_from_largest(self._reclaimable[cell][service], step.charge)
+        self._take(cell, service, step, is_reclaimable=True)
         return cell
 
 
@@ -162,7 +205,7 @@
 
     def run_pass(self, now_ms: Millis) -> None:
         """Transfer tasks that waited too long, and resume unfinished writes."""
-        self._free_workers.update(self._state.cell, self._heartbeats.known)
+        self._free_workers.update(self._state.cell, self._heartbeats.known, now_ms)
         waiting = dict(
             self._waiting_tasks(now_ms) if len(self._heartbeats.known) > 1 else ()
         )
@@ -216,18 +259,18 @@
             self._count_kept(step, task, "row too long")
             return
         service = progress.workflow.service
-        cell = self._free_workers.take(service, step)
         is_lost = step.is_endless and not task.is_unstarted()
-        fits_here = False
-        if cell is None and is_lost:
-            fits_here = can_ever_fit(service, step, self._state)
-            if not fits_here:
-                cell = self._free_workers.take_reclaimable(service, step)
+        is_unheld = ref in self._state.unheld_tasks
+        if is_lost and not is_unheld and waited_ms < HELD_WAIT_MS:
+            self._count_kept(step, task, "worker held here")
+            return
+        cell = self._free_workers.take(service, step)
+        if cell is None and is_lost and is_unheld:
+            cell = self._free_workers.take_reclaimable(service, step)
         if cell is not None:
             self._transfer(progress, ref, task, cell, waited_ms)
         else:
-            reason = "fits here later" if fits_here else "no capacity elsewhere"
-            self._count_kept(step, task, reason)
+            self._count_kept(step, task, "no capacity elsewhere")
 
     def _count_kept(self, step: Step, task: Task, reason: str) -> None:
         if step.is_endless and not task.is_unstarted():
