Run lasting tasks on leaving workers until another worker has capacity

Cause: the owner stopped them at once, whether or not another worker could take them. Change: the owner holds a worker for each of them as for lost tasks, and stops a task once that worker has the capacity, at the latest 1 s before its own worker may end. An entry that is read again does not extend that time, and a successor that finds the worker leaving stops the task at once, as it does not know how old the entry is.

--- a/hyssopweir/cell.py
+++ b/hyssopweir/cell.py
@@ -491,7 +491,7 @@
                 continue
             if link.entry != entry:
                 self._log_leaving(link, entry)
-                link.load.entry = entry
+                link.load.update_entry(entry, self._clock.now_ms())
                 self.state.wake.set()
                 # An entry may be older than the last reply, and a birth later than the
                 # next one if the time of day was set back.
--- a/hyssopweir/cell_maintenance.py
+++ b/hyssopweir/cell_maintenance.py
@@ -43,6 +43,9 @@
 MAX_DELETED_PER_PASS = 20
 # A run on a leaving worker continues if it is expected to end this long before.
 LEAVING_MARGIN_MS: Millis = 500
+# A lost reply to a stop command, its repetition and the end of the run fit into this
+# time. A run that ends with its worker is known to be over only after its lease.
+ENDLESS_MARGIN_MS: Millis = 1_000
 # A run is stalled after this time without progress, or after a fifth of its estimated
 # time if that is longer.
 STALL_MS: Millis = 2_500
@@ -269,12 +272,19 @@
                 self._commands.pace(run, link, percent, "speed of an adopted run")
 
     def _drain_worker(self, link: AgentLink, now_ms: Millis) -> None:
-        """Stop the runs that are not expected to end before the worker leaves."""
+        """Stop the runs that can't go on until the worker leaves.
+
+        Endless tasks go on until the scheduler has another worker for them, at most
+        until the worker may leave.
+        """
+        must_stop = link.load.leaves_at_ms - now_ms <= ENDLESS_MARGIN_MS
         for run, step in list(link.load.runs.values()):
             if run.phase is not RunPhase.RUNNING:
                 continue
             with self._state.guard_task(run.ref.task):
-                if step.is_endless or not ends_within(
+                if step.is_endless and not must_stop:
+                    self._state.wake.set()
+                elif step.is_endless or not ends_within(
                     run, step, link.entry.leaves_in_ms - LEAVING_MARGIN_MS, now_ms
                 ):
                     self._commands.stop(run, link, "worker is leaving")
--- a/hyssopweir/cell_scheduler.py
+++ b/hyssopweir/cell_scheduler.py
@@ -5,6 +5,7 @@
 from typing import NamedTuple
 
 from hyssopweir.agent_link import AgentLink
+from hyssopweir.agents import WorkerState
 from hyssopweir.cell_state import CellState
 from hyssopweir.clock import Millis
 from hyssopweir.events import Event
@@ -16,7 +17,7 @@
     choose_worker_for_step,
     rank_workers,
 )
-from hyssopweir.task_state import Run, Task, TaskRef
+from hyssopweir.task_state import Run, RunPhase, Task, TaskRef
 from hyssopweir.worker_load import WorkerLoad
 from hyssopweir.workflow_progress import WorkflowProgress
 from hyssopweir.workflows import Step
@@ -31,6 +32,8 @@
 # Less than any task needs, also one that reserves nothing.
 NO_CAPACITY = Resources(-1, -1, -1)
 LostTask = tuple[TaskRef, Step, Task]
+# Phases of runs on leaving workers whose tasks need another worker.
+RELOCATED_PHASES = frozenset({RunPhase.RUNNING, RunPhase.STOPPING})
 # Bounds the CPU use of the scheduler while there are tasks that do not fit.
 PASS_INTERVAL_MS: Millis = 20
 
@@ -130,6 +133,7 @@
         jobs = self._jobs_by_urgency()
         # Lost endless tasks of all jobs go before tasks that have never run.
         new_runs.extend(self._place_lost_tasks(jobs, current, last_resort_pass))
+        self._relocate_tasks(current.held)
         self._state.kept_capacity = dict(current.held.kept)
         self._record_held(current.held, now_ms)
         current.exclude_held()
@@ -204,6 +208,26 @@
             current.unplaceable.add(key)
         return load
 
+    def _relocate_tasks(self, held: HeldWorkers) -> None:
+        """Stop endless tasks on leaving workers once another worker has capacity.
+
+        Until then they stay at work, and a worker is held for each of them.
+        """
+        leaving = [
+            link
+            for link in self._state.links.values()
+            if link.entry.state is WorkerState.LEAVING
+        ]
+        for link in sorted(leaving, key=lambda link: link.load.leaves_at_ms):
+            for run, step in list(link.load.runs.values()):
+                # A stopped run counts until its end is known, and waits from then on.
+                if not step.is_endless or run.phase not in RELOCATED_PHASES:
+                    continue
+                with self._state.guard_task(run.ref.task):
+                    wait_ms = held.hold_for(run.ref.task, link.entry.service, step)
+                    if wait_ms == 0 and run.phase is RunPhase.RUNNING:
+                        self._commands.stop(run, link, "worker is leaving")
+
     def _jobs_within_bounds(
         self, jobs: Sequence[WorkflowProgress], current: PlacementPass
     ) -> Iterator[WorkflowProgress]:
--- a/hyssopweir/worker_load.py
+++ b/hyssopweir/worker_load.py
@@ -44,6 +44,8 @@
         self._tails_by_image: dict[str, float] | None = None
         self.is_confirmed = False
         self.is_listed = True
+        # Until then at least a leaving worker keeps running, as far as known.
+        self.leaves_at_ms: Millis = 0
         self.last_report_ms: Millis = 0
         self._failed_jobs: set[str] = set()
         self._ejected_until_ms: Millis = 0
@@ -52,6 +54,14 @@
         self._last_failure_ms: Millis | None = None
         self.slowdown = 1.0
 
+    def update_entry(self, entry: WorkerEntry, now_ms: Millis) -> None:
+        """Replace the entry; a worker that announces its leaving keeps its time."""
+        leaves_at_ms = now_ms + entry.leaves_in_ms
+        if self.entry.state is WorkerState.LEAVING:
+            leaves_at_ms = min(leaves_at_ms, self.leaves_at_ms)
+        self.leaves_at_ms = leaves_at_ms
+        self.entry = entry
+
     @property
     def free(self) -> Resources:
         """Return the capacity that is not reserved."""
