Keep capacity for lost lasting tasks of other cells

Cause: lost tasks go first in their own cell only. A cell fills a new worker in the pass of its admission, 20 ms; another cell hears of the capacity by heartbeat, poll and transfer pass, when it is gone, and a task that is sent there waits and is sent on. Change: heartbeats list what lost tasks need for which no worker of their cell can be held, 12 for each service at most. The other cells take turns in holding workers for them, after their own lost tasks and before all other work, and go on offering that capacity. Lost tasks are transferred the longest away first.

--- a/hyssopweir/cell.py
+++ b/hyssopweir/cell.py
@@ -51,7 +51,7 @@
 from hyssopweir.run_commands import RunCommands
 from hyssopweir.run_reports import RunReports
 from hyssopweir.spare_capacity import reclaimable_capacity, spare_capacity
-from hyssopweir.task_transfers import TaskTransfers
+from hyssopweir.task_transfers import TaskTransfers, lost_without_worker
 from hyssopweir.workflow_progress import (
     WorkflowProgress,
     WorkflowState,
@@ -267,6 +267,7 @@
             self._heartbeat_version,
             reclaimable_capacity(self.state) if self._has_other_cells else {},
             self._long_leases(),
+            lost_without_worker(self.state) if self._has_other_cells else {},
         )
 
     def _long_leases(self) -> tuple[str, ...]:
--- a/hyssopweir/cell_heartbeats.py
+++ b/hyssopweir/cell_heartbeats.py
@@ -91,6 +91,8 @@
     pending jobs of each queue. ``reclaimable`` lists by service capacities of workers
     once all tasks that end have ended, of which one fits whatever fits any.
     ``long_leases`` names workers with leases that a successor would take for shorter.
+    ``lost`` lists by service what lost endless tasks need that no worker of the cell
+    can take.
     """
 
     instance: str
@@ -103,6 +105,7 @@
     version: int = ABSENT
     reclaimable: Mapping[str, tuple[Resources, ...]] = {}
     long_leases: tuple[str, ...] = ()
+    lost: Mapping[str, tuple[Resources, ...]] = {}
 
 
 class HeartbeatResult(NamedTuple):
@@ -147,6 +150,7 @@
     queues = read_map(data.get("queues", {}), "queues", MAX_LISTED)
     reclaimable = read_map(data.get("reclaimable", {}), "reclaimable", MAX_LISTED)
     long_leases = read_list(data.get("long_leases", []), "long_leases", MAX_LISTED)
+    lost = read_map(data.get("lost", {}), "lost", MAX_LISTED)
     return Heartbeat(
         read_text(data.get("instance"), "instance"),
         read_text(data.get("life"), "life"),
@@ -159,14 +163,21 @@
         },
         {read_text(queue, "queue"): read_int(n, "jobs") for queue, n in queues.items()},
         row.version,
-        {
-            read_text(service, "service"): _read_amounts(amounts, "reclaimable")
-            for service, amounts in reclaimable.items()
-        },
+        _read_amounts_by_service(reclaimable, "reclaimable"),
         tuple(read_text(worker, "worker") for worker in long_leases),
+        _read_amounts_by_service(lost, "lost"),
     )
 
 
+def _read_amounts_by_service(
+    values: Mapping[str, Any], name: str
+) -> dict[str, tuple[Resources, ...]]:
+    return {
+        read_text(service, "service"): _read_amounts(amounts, name)
+        for service, amounts in values.items()
+    }
+
+
 def _read_room(value: Any) -> SpareCapacity:
     fields = read_list(value, "room", len(SpareCapacity._fields))
     with input_errors("room"):
--- a/hyssopweir/cell_maintenance.py
+++ b/hyssopweir/cell_maintenance.py
@@ -98,6 +98,7 @@
             self._log_waiting_jobs(now_ms)
             if not self._state.interference_model.is_empty():
                 self._state.commits.mark(self._state.progress_key(INTERFERENCE_KEY))
+        self._task_transfers.record_lost_elsewhere()
         self._open_due()
         self._handle_stragglers(now_ms)
         for link in list(self._state.links.values()):
@@ -164,6 +165,7 @@
             held_workers=len(held),
             held=describe_held(self._state, held, now_ms),
             unheld=len(self._state.unheld_tasks),
+            lost_elsewhere=len(self._state.lost_elsewhere),
             kept=dict(self._task_transfers.kept_lost),
             reclaimable={
                 service: [[free.cpu, free.memory_mb] for free in amounts]
--- a/hyssopweir/cell_scheduler.py
+++ b/hyssopweir/cell_scheduler.py
@@ -135,6 +135,8 @@
         new_runs.extend(self._place_lost_tasks(jobs, current, last_resort_pass))
         self._relocate_tasks(current.held)
         self._state.kept_capacity = dict(current.held.kept)
+        for service, charge in self._state.lost_elsewhere:
+            current.held.hold(service, charge)
         self._record_held(current.held, now_ms)
         current.exclude_held()
         for progress in self._jobs_within_bounds(jobs, current):
--- a/hyssopweir/cell_state.py
+++ b/hyssopweir/cell_state.py
@@ -1,7 +1,7 @@
 """In-memory state of a cell's owner: jobs, worker links and rows to be stored."""
 
 import asyncio
-from collections.abc import Callable, Iterable, Iterator, Mapping
+from collections.abc import Callable, Iterable, Iterator, Mapping, Sequence
 from types import TracebackType
 
 from hyssopweir.agent_link import AgentLink
@@ -90,6 +90,9 @@
         # and the lost ones for which it found no worker, with their service.
         self.kept_capacity: Mapping[str, Resources] = {}
         self.unheld_tasks: Mapping[TaskRef, tuple[str, Step]] = {}
+        # Service and capacity of lost endless tasks of other cells for which this one
+        # keeps capacity.
+        self.lost_elsewhere: Sequence[tuple[str, Resources]] = ()
         # Jobs that may have unplaced tasks.
         self.unplaced: set[str] = set()
         self.wake = asyncio.Event()
--- a/hyssopweir/task_transfers.py
+++ b/hyssopweir/task_transfers.py
@@ -45,6 +45,8 @@
 # A lost endless task for which its cell holds a worker is transferred only after this
 # time: capacity that was free there a moment ago has often been used on its arrival.
 HELD_WAIT_MS: Millis = 4_000
+# Lost tasks of a service that a heartbeat lists, about 20 bytes each.
+MAX_LOST_LISTED = 12
 # Heartbeats show a transferred task within this time.
 ARRIVAL_MS: Millis = 1_000
 # Other tasks release their capacity, so that a cell is rarely full for longer.
@@ -203,6 +205,14 @@
         """Cancel all writes in progress."""
         self._tasks.close()
 
+    def record_lost_elsewhere(self) -> None:
+        """Record the lost tasks of other cells for which this one keeps capacity."""
+        own, known = self._state.cell, self._heartbeats.known
+        shares = share_of_lost(own, known)
+        if shares != self._state.lost_elsewhere:
+            self._state.lost_elsewhere = shares
+            self._state.wake.set()
+
     def run_pass(self, now_ms: Millis) -> None:
         """Transfer tasks that waited too long, and resume unfinished writes."""
         self._free_workers.update(self._state.cell, self._heartbeats.known, now_ms)
@@ -214,9 +224,7 @@
         }
         self.kept_lost.clear()
         # Lost endless tasks come first, as in the placement in the own cell.
-        for ref, (progress, step, task) in sorted(
-            waiting.items(), key=lambda item: transfer_order(*item[1][1:])
-        ):
+        for ref, (progress, step, task) in sorted(waiting.items(), key=transfer_key):
             since_ms = max(self._waiting_since_ms[ref], progress.idle_since_ms(task))
             waited_ms = now_ms - since_ms
             if waited_ms < (ENDLESS_WAIT_MS if step.is_endless else WAIT_MS):
@@ -397,6 +405,39 @@
         self.resume(progress)
 
 
+def lost_without_worker(state: CellState) -> dict[str, tuple[Resources, ...]]:
+    """Return by service what lost tasks need that should get a worker elsewhere."""
+    charges: dict[str, list[Resources]] = {}
+    for ref, (service, step) in state.unheld_tasks.items():
+        progress = state.job_of(ref)
+        listed = charges.setdefault(service, [])
+        is_listed = progress is not None and may_transfer(progress, step)
+        if is_listed and len(listed) < MAX_LOST_LISTED:
+            listed.append(step.charge)
+    return {service: tuple(listed) for service, listed in charges.items()}
+
+
+def share_of_lost(
+    own: str, heartbeats: Mapping[str, Heartbeat]
+) -> list[tuple[str, Resources]]:
+    """Return the lost tasks of other cells for which a cell keeps capacity.
+
+    The other cells take turns, so that only one of them keeps capacity for each task.
+    """
+    cells = sorted(heartbeats)
+    shares: list[tuple[str, Resources]] = []
+    if own not in heartbeats:
+        return shares
+    for cell, heartbeat in heartbeats.items():
+        if cell == own:
+            continue
+        others = [other for other in cells if other != cell]
+        first, count = others.index(own), len(others)
+        for service, charges in heartbeat.lost.items():
+            shares.extend((service, charge) for charge in charges[first::count])
+    return shares
+
+
 def is_bound(progress: WorkflowProgress, now_ms: Millis) -> bool:
     """Return whether a job is not, or no longer, transferred as a whole."""
     is_stuck = now_ms - progress.added_ms >= WHOLE_JOB_WAIT_MS
@@ -418,6 +459,14 @@
     return not step.is_endless, task.is_unstarted()
 
 
+def transfer_key(
+    item: tuple[TaskRef, tuple[WorkflowProgress, Step, Task]],
+) -> tuple[bool, bool, Millis]:
+    """Return the sort key of a waiting task; the longest away goes first."""
+    _, (progress, step, task) = item
+    return *transfer_order(step, task), progress.idle_since_ms(task)
+
+
 def build_transferred(
     workflow: Workflow, home: str, ref: TaskRef, task: Task, hops: int
 ) -> Workflow:
