Start fillers at the speed that the headroom allows

Cause: a filler was started only where it fits the headroom of the serving tasks at full speed, while running fillers are slowed down all the time. Change: a filling job that has had nothing running for 1.5 s gets one task started, before other work of the pass, on the worker that allows it the highest speed, at least a fifth; the speed is set with the start's reply, and the pacing changes it from the next report on.

--- a/hyssopweir/cell_scheduler.py
+++ b/hyssopweir/cell_scheduler.py
@@ -15,6 +15,7 @@
 from hyssopweir.step_placement import (
     WorkerRanking,
     choose_worker_for_step,
+    fits,
     rank_workers,
 )
 from hyssopweir.task_state import Run, RunPhase, Task, TaskRef
@@ -32,6 +33,11 @@
 # Less than any task needs, also one that reserves nothing.
 NO_CAPACITY = Resources(-1, -1, -1)
 LostTask = tuple[TaskRef, Step, Task]
+# A filling job with nothing running for this time gets a task started at a lower speed.
+SLOW_START_WAIT_MS: Millis = 1_500
+# Bounds the CPU use of these starts: how often they are tried, for how many jobs.
+SLOW_START_INTERVAL_MS: Millis = 250
+MAX_SLOW_STARTS = 8
 # Phases of runs on leaving workers whose tasks need another worker.
 RELOCATED_PHASES = frozenset({RunPhase.RUNNING, RunPhase.STOPPING})
 # Bounds the CPU use of the scheduler while there are tasks that do not fit.
@@ -110,6 +116,10 @@
         self._tried_jobs: set[str] = set()
         # Jobs that the last pass has left to later ones.
         self.untried_jobs = 0
+        # Time of the last pass that started fillers at a lower speed, and the filling
+        # jobs that such passes have tried since they last came to the end.
+        self._slow_starts_ms: Millis = 0
+        self._tried_fillers: set[str] = set()
         # By worker that the last pass has held, since when passes have done so.
         self.held_since_ms: dict[str, Millis] = {}
 
@@ -139,6 +149,9 @@
             current.held.hold(service, charge)
         self._record_held(current.held, now_ms)
         current.exclude_held()
+        if now_ms - self._slow_starts_ms >= SLOW_START_INTERVAL_MS:
+            self._slow_starts_ms = now_ms
+            new_runs.extend(self._start_slow_fillers(jobs, current))
         for progress in self._jobs_within_bounds(jobs, current):
             with self._state.guard(progress.key):
                 if not is_unplaceable(progress, current.unplaceable):
@@ -230,6 +243,55 @@
                     if wait_ms == 0 and run.phase is RunPhase.RUNNING:
                         self._commands.stop(run, link, "worker is leaving")
 
+    def _start_slow_fillers(
+        self, jobs: Iterable[WorkflowProgress], current: PlacementPass
+    ) -> Iterator[tuple[Run, AgentLink]]:
+        """Start one task of filling jobs with nothing running, at a lower speed.
+
+        Otherwise a filler that fits no headroom at full speed would wait for good.
+        """
+        starving: list[tuple[Millis, WorkflowProgress, LostTask]] = []
+        for progress in jobs:
+            with self._state.guard(progress.key):
+                found = find_starving_filler(progress, current.now_ms)
+                if found is not None and progress.spare_runs(self._state.links):
+                    starving.append((progress.last_run_ms(), progress, found))
+        untried = [item for item in starving if item[1].key not in self._tried_fillers]
+        if not untried:
+            self._tried_fillers.clear()
+        untried.sort(key=itemgetter(0))
+        for _, progress, (ref, step, _) in untried[:MAX_SLOW_STARTS]:
+            self._tried_fillers.add(progress.key)
+            with self._state.guard(progress.key):
+                load, percent = self._choose_slow_worker(
+                    ref, step, current.loads.get(progress.workflow.service, ()), current
+                )
+                if load is None:
+                    continue
+                run, link = self._record_run(progress, ref, step, load, current.now_ms)
+                run.pace = percent
+                self._state.commits.mark(self._state.progress_key(progress.key))
+                yield run, link
+
+    def _choose_slow_worker(
+        self,
+        ref: TaskRef,
+        step: Step,
+        loads: Iterable[WorkerLoad],
+        current: PlacementPass,
+    ) -> tuple[WorkerLoad | None, int]:
+        """Return the worker on which a filler may run fastest, and the speed."""
+        model = self._state.interference_model
+        best: WorkerLoad | None = None
+        best_percent = 0
+        for load in loads:
+            if not fits(ref, step, load):
+                continue
+            percent = model.start_percent(step, load)
+            if percent > best_percent:
+                best, best_percent = load, percent
+        return best, best_percent
+
     def _jobs_within_bounds(
         self, jobs: Sequence[WorkflowProgress], current: PlacementPass
     ) -> Iterator[WorkflowProgress]:
@@ -366,6 +428,16 @@
         return run, link
 
 
+def find_starving_filler(progress: WorkflowProgress, now_ms: Millis) -> LostTask | None:
+    """Return the first waiting filler of a job that has had no run for some time."""
+    if now_ms - progress.last_run_ms() < SLOW_START_WAIT_MS or any(progress.runs()):
+        return None
+    for ref, step, task in progress.waiting():
+        if step.is_filler:
+            return ref, step, task
+    return None
+
+
 def is_unplaceable(progress: WorkflowProgress, unplaceable: Set[PlacementKey]) -> bool:
     """Return whether no open step of a job fits, as far as this pass has found."""
     service = progress.workflow.service
--- a/hyssopweir/filler_interference.py
+++ b/hyssopweir/filler_interference.py
@@ -36,6 +36,9 @@
 # placed up to the second.
 PACING_TAIL = 0.95
 PLACEMENT_TAIL = 0.8
+# Speeds are multiples of the first, in percent; no filler runs below the second.
+PERCENT_STEP = 5
+MIN_PERCENT = 20
 # Allowance for a rise of a task's own load while a filler runs, at most to its peak.
 MAX_LOAD_RISE = 0.1
 # Peaks decay by this share with each report, so that they follow a change of load.
@@ -295,6 +298,16 @@
             worst = max(worst, added_utilization / available)
         return worst
 
+    def start_percent(self, step: Step, load: WorkerLoad) -> int:
+        """Return the speed at which a filler fits a worker's headroom, 0 if none."""
+        share = 1.0
+        for victim, available in self.headroom(load).items():
+            added_utilization = self.added_utilization(step, victim, load)
+            if _is_negligible(added_utilization, available):
+                continue
+            share = min(share, max(available, 0.0) / added_utilization)
+        return percent_of(share)
+
     def describe_limit(
         self, step: Step, load: WorkerLoad, now_ms: Millis
     ) -> dict[str, Any]:
@@ -365,6 +378,12 @@
             yield run, step
 
 
+def percent_of(share: float) -> int:
+    """Return a share of full speed as a speed that may be set, in percent."""
+    percent = int(100 * share) // PERCENT_STEP * PERCENT_STEP
+    return percent if percent >= MIN_PERCENT else 0
+
+
 def filler_shares(load: WorkerLoad) -> list[tuple[str, float]]:
     """Return the image of each filler and the share of the worker's CPU that it uses.
 
--- a/hyssopweir/filler_pacing.py
+++ b/hyssopweir/filler_pacing.py
@@ -17,6 +17,7 @@
     TAIL_WINDOW_MS,
     FillerInterference,
     filler_shares,
+    percent_of,
     serving_runs,
 )
 from hyssopweir.task_state import Run, RunPhase, RunRef
@@ -27,11 +28,8 @@
 SHORT_RUN_MS: Millis = 1_500
 # A filler that was stopped for this long is moved.
 MAX_STOPPED_MS: Millis = 1_500
-# Speeds are multiples of the first, in percent; changes below the second are not sent.
-PERCENT_STEP = 5
+# Changes of speed below this are not sent, in percent.
 MIN_PERCENT_CHANGE = 15
-# A run is stopped instead of running below this speed.
-MIN_PERCENT = 20
 # All fillers are stopped if a task is overloaded for this long, whatever their
 # coefficients: with one report and one command, the task is below its target again
 # within 3 s.
@@ -136,12 +134,7 @@
                 total = harmful_total if is_harmful else harmless_total
                 if total > max(allowed, 0.0):
                     shares[ref] = min(shares[ref], max(allowed, 0.0) / total)
-        return {ref: _percent_of(share) for ref, share in shares.items()}
-
-
-def _percent_of(share: float) -> int:
-    percent = int(100 * share) // PERCENT_STEP * PERCENT_STEP
-    return percent if percent >= MIN_PERCENT else 0
+        return {ref: percent_of(share) for ref, share in shares.items()}
 
 
 def _is_significant_change(pace: int, percent: int) -> bool:
--- a/hyssopweir/run_commands.py
+++ b/hyssopweir/run_commands.py
@@ -17,6 +17,8 @@
 # A speed that may be overridden by an earlier command is sent again at this interval,
 # shorter than the time for which a task may exceed its tail latency target.
 PACE_REPEAT_MS: Millis = 2_000
+# Speed at which workers start a run, in percent.
+FULL_PACE = 100
 # A worker that refused a start gets no runs until its next report has certainly come.
 REFUSAL_PAUSE_MS: Millis = 1_000
 
@@ -74,6 +76,8 @@
         if result is CommandResult.ACCEPTED:
             if run.phase is RunPhase.ORDERED:
                 run.phase = RunPhase.RUNNING
+                if run.pace < FULL_PACE:
+                    self.pace(run, link, run.pace, "start at a lower speed")
             if progress.is_final() or task.is_done:
                 self.stop(run, link, "job ended during the start")
             return
--- a/hyssopweir/workflow_progress.py
+++ b/hyssopweir/workflow_progress.py
@@ -236,6 +236,11 @@
         """Return since when a task has no active run, as known to this owner."""
         return max(task.idle_since_ms, self.added_ms)
 
+    def last_run_ms(self) -> Millis:
+        """Return when the last run of any task ended, as known to this owner."""
+        tasks = (task for tasks in self.tasks.values() for task in tasks)
+        return max((self.idle_since_ms(task) for task in tasks), default=self.added_ms)
+
     def step_runs(self, key: StepKey) -> list[Run]:
         """Return the active runs of a step."""
         return [run for task in self.tasks[key] for run in task.runs.values()]
