Let interference estimates that nothing measures lose their weight

Cause: an estimate changes only while a filler of its image runs, and none is started while it is high: it was kept for good, also by the next owner. Change: 5 s after its last measurement, what counts of an estimate for a start halves every 5 s. A filler that starts by it sets the estimate to that value with a high variance, so that its first reports decide. Reports beside a stopped filler measure nothing.

--- a/hyssopweir/cell_scheduler.py
+++ b/hyssopweir/cell_scheduler.py
@@ -268,6 +268,8 @@
                 )
                 if load is None:
                     continue
+                model = self._state.interference_model
+                model.prepare_trial(step, load, current.now_ms)
                 run, link = self._record_run(progress, ref, step, load, current.now_ms)
                 run.pace = percent
                 self._state.commits.mark(self._state.progress_key(progress.key))
@@ -287,7 +289,7 @@
         for load in loads:
             if not fits(ref, step, load):
                 continue
-            percent = model.start_percent(step, load)
+            percent = model.start_percent(step, load, current.now_ms)
             if percent > best_percent:
                 best, best_percent = load, percent
         return best, best_percent
--- a/hyssopweir/filler_interference.py
+++ b/hyssopweir/filler_interference.py
@@ -298,16 +298,28 @@
             worst = max(worst, added_utilization / available)
         return worst
 
-    def start_percent(self, step: Step, load: WorkerLoad) -> int:
-        """Return the speed at which a filler fits a worker's headroom, 0 if none."""
+    def start_percent(self, step: Step, load: WorkerLoad, now_ms: Millis) -> int:
+        """Return the speed at which a filler fits the headroom of a worker, 0 if none.
+
+        Only a run can measure a coefficient again, so that an old one counts less.
+        """
         share = 1.0
         for victim, available in self.headroom(load).items():
+            image_filter = self._filters.get(victim, UNOBSERVED)
             added_utilization = self.added_utilization(step, victim, load)
+            added_utilization *= image_filter.confidence(step.image, now_ms)
             if _is_negligible(added_utilization, available):
                 continue
             share = min(share, max(available, 0.0) / added_utilization)
         return percent_of(share)
 
+    def prepare_trial(self, step: Step, load: WorkerLoad, now_ms: Millis) -> None:
+        """Let the next reports correct old estimates of a filler that starts."""
+        for victim in self.headroom(load):
+            if victim in self._filters:
+                self._filters[victim].forget_old(step.image, now_ms)
+        self._revision += 1
+
     def describe_limit(
         self, step: Step, load: WorkerLoad, now_ms: Millis
     ) -> dict[str, Any]:
--- a/hyssopweir/interference_filter.py
+++ b/hyssopweir/interference_filter.py
@@ -25,6 +25,10 @@
 LOAD_DRIFT = 0.02
 # Growth of the variance of a coefficient per second; coefficients may change over time.
 COEFFICIENT_DRIFT = 0.002
+# A coefficient that was measured within the first time counts in full for the start of
+# a filler; what counts of an older one halves in the second.
+VALID_MS: Millis = 5_000
+HALF_LIFE_MS: Millis = 5_000
 # Variance of a measurement, and of one taken while fillers started or ended.
 MEASUREMENT_VARIANCE = 0.006
 UNSETTLED_VARIANCE = 0.025
@@ -49,7 +53,7 @@
     def __init__(self) -> None:
         self.coefficients: dict[str, float] = {}
         self.loads: dict[str, JobLoad] = {}
-        # Time of the last report of a task next to a filler of an image, for the log.
+        # Time of the last report of a task next to a filler of an image at work.
         self.measured_ms: dict[str, Millis] = {}
         self._covariance: dict[str, dict[str, float]] = {}
         self._last_drift_ms: Millis | None = None
@@ -74,6 +78,27 @@
         row = self._covariance.get(image)
         return INITIAL_VARIANCE if row is None else row[image]
 
+    def confidence(self, image: str, now_ms: Millis) -> float:
+        """Return the share of a coefficient that counts for a new filler, 0 to 1.
+
+        It decreases while no filler of the image runs; for a restored coefficient, from
+        the first call on.
+        """
+        measured_ms = self.measured_ms.setdefault(image, now_ms)
+        age_ms = max(now_ms - measured_ms - VALID_MS, 0)
+        return float(0.5 ** (age_ms / HALF_LIFE_MS))
+
+    def forget_old(self, image: str, now_ms: Millis) -> None:
+        """Replace an old coefficient by what counts of it, with a high variance."""
+        confidence = self.confidence(image, now_ms)
+        if confidence < 1.0 and image in self.coefficients:
+            self.coefficients[image] = confidence * self.coefficient(image)
+            self._covariance[image] = {image: INITIAL_VARIANCE}
+            for other, row in self._covariance.items():
+                if other != image:
+                    row.pop(image, None)
+            self.measured_ms[image] = now_ms
+
     def baseline_load(self, job: str) -> float:
         """Return the utilization of a job's tasks without fillers, 0 to 1."""
         load = self.loads.get(job)
@@ -104,7 +129,8 @@
             if image not in self.coefficients:
                 self.coefficients[image] = INITIAL_COEFFICIENT
                 self._covariance[image] = {image: INITIAL_VARIANCE}
-            self.measured_ms[image] = now_ms
+            if filler_shares[image] > 0 or image not in self.measured_ms:
+                self.measured_ms[image] = now_ms
         self._apply_drift(now_ms)
         load = self._predict_load(job, now_ms)
         cross_covariances = {
