Test of the log lines on lost tasks and leaving workers

Guards against a log that states only that no worker has capacity, from which a full cell can't be told from a worker that is held too long.

--- a/tests/test_endless_tasks.py
+++ b/tests/test_endless_tasks.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from hyssopweir.agents import CommandResult, StartReply
+from hyssopweir.agents import CommandResult, StartReply, WorkerState
 from hyssopweir.cell_layout import request_key
 from hyssopweir.events import Event
 from hyssopweir.row_store import ABSENT, MAX_ROW_BYTES, Write
@@ -99,6 +99,33 @@
     run_virtual(run_scenario())
 
 
+def test_log_states_what_keeps_a_lost_task_from_a_leaving_worker_away() -> None:
+    """Guards against a log that can't tell a full cell from a worker held too long."""
+
+    async def run_scenario() -> None:
+        simulation = await build_full_cell(0)
+        for worker in simulation.workers.values():
+            if worker.entry.rack == "r1":
+                worker.is_listed = False
+        leaving = simulation.workers["w0"]
+        leaving.entry = leaving.entry._replace(
+            state=WorkerState.LEAVING, leaves_in_ms=5_000
+        )
+        await simulation.sleep_ms(RESTART_LIMIT_MS)
+        records = simulation.records
+        listed = [r for r in records if r.event is Event.WORKER_LISTED]
+        assert {r.fields["worker"] for r in listed} >= {"w0"}
+        left = [r for r in records if r.event is Event.WORKER_LEAVING]
+        assert [r.fields["worker"] for r in left] == ["w0"]
+        assert left[0].fields["servers"] > 0
+        line = [r for r in records if r.event is Event.LOST_TASKS][-1].fields
+        assert line["lost"] == line["never_fit"] == left[0].fields["servers"]
+        assert line["unheld"] == {"no worker fits": line["lost"]}
+        assert line["held"] == [] and line["usable_workers"] == 3
+
+    run_virtual(run_scenario())
+
+
 @pytest.mark.parametrize("seed", range(3))
 def test_endless_tasks_of_a_full_cell_restart_in_another_cell(seed: int) -> None:
     """Guards against lost endless tasks that wait although another cell is free."""
