Fillers of realistic interference in the red tests, and a bound that starts at full speed exceed

A coefficient of 8 lies above what the filter can hold (5): the overwhelming case is now a large filler of 4.5. Pacing of an overwhelming image adds up to more, so that its bound stays.

--- a/tests/test_filler_starts.py
+++ b/tests/test_filler_starts.py
@@ -5,6 +5,7 @@
 from hyssopweir.events import Event
 from hyssopweir.resources import Resources
 from hyssopweir.workflow_progress import WorkflowState
+from hyssopweir.workflows import Step
 from tests.cell_simulation import build_step, build_workflow
 from tests.job_checks import events_of
 from tests.shared_workers import SERVING, SharedSimulation
@@ -18,11 +19,13 @@
 HARM_LIMIT_MS = 4_000
 # Utilization that a worker full of fillers adds: such images are slowed down at once.
 DISTURBING, HARMLESS = 2.0, 0.1
-# Beside these, a task at the lowest speed alone takes a serving task over its target.
-OVERWHELMING = 8.0
+# A large task of such an image takes a serving task over its target at any speed.
+OVERWHELMING = 4.5
 TRAINING_LIMIT_MS = 60_000
-# Short excesses next to slowed fillers, whose sum may not reach half of this time.
+# For how much of the first time a serving task may be over its target in all. Pacing
+# stops and resumes a filler of an overwhelming image, so that this adds up.
 OBSERVED_MS = 40_000
+MAX_OVER_MS = {DISTURBING: OBSERVED_MS // 10, OVERWHELMING: OBSERVED_MS // 2}
 # Six tasks of 4 s, of which the first ones run at the lowest speed until measured.
 RECOVERY_LIMIT_MS = 30_000
 FILLER = build_step(
@@ -33,16 +36,24 @@
     checkpoints=True,
     estimated_ms=4_000,
 )
+LARGE_FILLER = FILLER._replace(room=Resources(8_000, 1_000))
+IMAGES = pytest.mark.parametrize(
+    ("coefficient", "filler"),
+    [(DISTURBING, FILLER), (OVERWHELMING, LARGE_FILLER)],
+    ids=["disturbing", "overwhelming"],
+)
 
 
-async def learn_interference(seed: int, coefficient: float) -> SharedSimulation:
+async def learn_interference(
+    seed: int, coefficient: float, filler: Step = FILLER
+) -> SharedSimulation:
     """Return a cell with serving tasks on all workers that has run a filling job."""
     simulation = SharedSimulation(seed)
     simulation.coefficients["mix"] = coefficient
     await simulation.sleep_ms(1_000)
     assert await simulation.submit(build_workflow("serving", SERVING))
     await simulation.sleep_ms(4_000)
-    assert await simulation.submit(build_workflow("first", FILLER))
+    assert await simulation.submit(build_workflow("first", filler))
     assert await simulation.until("first", DONE, TRAINING_LIMIT_MS)
     await simulation.sleep_ms(2_000)
     return simulation
@@ -123,16 +134,16 @@
 
 
 @pytest.mark.parametrize("seed", range(3))
-@pytest.mark.parametrize("coefficient", [DISTURBING, OVERWHELMING])
+@IMAGES
 def test_filler_whose_image_no_longer_disturbs_runs_and_is_done(
-    coefficient: float, seed: int
+    coefficient: float, filler: Step, seed: int
 ) -> None:
     """Guards against estimates of interference that are never measured again."""
 
     async def main() -> None:
-        simulation = await learn_interference(seed, coefficient)
+        simulation = await learn_interference(seed, coefficient, filler)
         simulation.coefficients["mix"] = HARMLESS
-        assert await simulation.submit(build_workflow("waiting", FILLER))
+        assert await simulation.submit(build_workflow("waiting", filler))
         await assert_runs_at_the_end(simulation, "waiting")
         assert await simulation.until("waiting", DONE, RECOVERY_LIMIT_MS)
         assert simulation.work.breaches == []
@@ -141,22 +152,22 @@
 
 
 @pytest.mark.parametrize("seed", range(3))
-@pytest.mark.parametrize("coefficient", [DISTURBING, OVERWHELMING])
+@IMAGES
 def test_waiting_fillers_that_disturb_keep_no_task_over_its_target(
-    coefficient: float, seed: int
+    coefficient: float, filler: Step, seed: int
 ) -> None:
     """Guards against trials of an image that add up, or that are not ended in time."""
 
     async def main() -> None:
-        simulation = await learn_interference(seed, coefficient)
+        simulation = await learn_interference(seed, coefficient, filler)
         before_ms = {w: w.total_over_ms for w in simulation.shared_workers()}
         for number in range(12):
-            job = build_workflow(f"waiting-{number}", FILLER)
+            job = build_workflow(f"waiting-{number}", filler)
             assert await simulation.submit(job)
         await simulation.sleep_ms(OBSERVED_MS)
         assert simulation.longest_over_ms() < HARM_LIMIT_MS
         for worker, over_ms in before_ms.items():
-            assert worker.total_over_ms - over_ms < OBSERVED_MS / 2
+            assert worker.total_over_ms - over_ms < MAX_OVER_MS[coefficient]
         assert simulation.work.breaches == []
 
     run_virtual(main())
