Start slow fillers at the lowest speed, while capacity is free

Cause: at most eight jobs were tried each 250 ms, after 1.5 s without a run, and at the highest speed that fits the pacing changed the speed all the time, also on a full service. Change: jobs are tried each by themselves every 250 ms, after 0.3 s without a run, while at most 0.6 of the service's capacity in the cell is taken. The run keeps the lowest speed until full speed fits.

--- a/hyssopweir/cell_scheduler.py
+++ b/hyssopweir/cell_scheduler.py
@@ -1,5 +1,6 @@
 """Placement of waiting tasks, ordered by the urgency of their jobs."""
 
+from collections import Counter
 from collections.abc import Iterable, Iterator, Mapping, Sequence, Set
 from operator import itemgetter
 from typing import NamedTuple
@@ -9,6 +10,7 @@
 from hyssopweir.cell_state import CellState
 from hyssopweir.clock import Millis
 from hyssopweir.events import Event
+from hyssopweir.filler_interference import FULL_PERCENT, MIN_PERCENT
 from hyssopweir.held_workers import HeldWorkers
 from hyssopweir.resources import Resources
 from hyssopweir.run_commands import RunCommands
@@ -33,10 +35,14 @@
 # Less than any task needs, also one that reserves nothing.
 NO_CAPACITY = Resources(-1, -1, -1)
 LostTask = tuple[TaskRef, Step, Task]
-# A filling job with nothing running for this time gets a task started at a lower speed.
-SLOW_START_WAIT_MS: Millis = 1_500
-# Bounds the CPU use of these starts: how often they are tried, for how many jobs.
-SLOW_START_INTERVAL_MS: Millis = 250
+# A filling job of the first age with nothing running for the second time gets a task
+# started at the lowest speed, while at most a share of its service's capacity is taken:
+# on a busy service, slow fillers cost the serving tasks more than they gain.
+SLOW_START_AGE_MS: Millis = 1_500
+SLOW_START_WAIT_MS: Millis = 300
+MAX_TAKEN_SHARE = 0.6
+# Bounds the CPU use of these starts: how often a job is tried, and jobs in a pass.
+SLOW_START_RETRY_MS: Millis = 250
 MAX_SLOW_STARTS = 8
 # Phases of runs on leaving workers whose tasks need another worker.
 RELOCATED_PHASES = frozenset({RunPhase.RUNNING, RunPhase.STOPPING})
@@ -116,10 +122,8 @@
         self._tried_jobs: set[str] = set()
         # Jobs that the last pass has left to later ones.
         self.untried_jobs = 0
-        # Time of the last pass that started fillers at a lower speed, and the filling
-        # jobs that such passes have tried since they last came to the end.
-        self._slow_starts_ms: Millis = 0
-        self._tried_fillers: set[str] = set()
+        # By filling job with nothing running, when it is next tried at a lower speed.
+        self._retry_ms: dict[str, Millis] = {}
         # By worker that the last pass has held, since when passes have done so.
         self.held_since_ms: dict[str, Millis] = {}
 
@@ -149,9 +153,7 @@
             current.held.hold(service, charge)
         self._record_held(current.held, now_ms)
         current.exclude_held()
-        if now_ms - self._slow_starts_ms >= SLOW_START_INTERVAL_MS:
-            self._slow_starts_ms = now_ms
-            new_runs.extend(self._start_slow_fillers(jobs, current))
+        new_runs.extend(self._start_slow_fillers(jobs, current))
         for progress in self._jobs_within_bounds(jobs, current):
             with self._state.guard(progress.key):
                 if not is_unplaceable(progress, current.unplaceable):
@@ -250,18 +252,24 @@
 
         Otherwise a filler that fits no headroom at full speed would wait for good.
         """
+        now_ms = current.now_ms
         starving: list[tuple[Millis, WorkflowProgress, LostTask]] = []
+        open_services = self._services_with_capacity()
         for progress in jobs:
+            if progress.workflow.service not in open_services:
+                continue
+            if self._retry_ms.get(progress.key, 0) > now_ms:
+                continue
             with self._state.guard(progress.key):
-                found = find_starving_filler(progress, current.now_ms)
+                found = find_starving_filler(progress, now_ms)
                 if found is not None and progress.spare_runs(self._state.links):
                     starving.append((progress.last_run_ms(), progress, found))
-        untried = [item for item in starving if item[1].key not in self._tried_fillers]
-        if not untried:
-            self._tried_fillers.clear()
-        untried.sort(key=itemgetter(0))
-        for _, progress, (ref, step, _) in untried[:MAX_SLOW_STARTS]:
-            self._tried_fillers.add(progress.key)
+        starving.sort(key=itemgetter(0))
+        self._retry_ms = {
+            key: at_ms for key, at_ms in self._retry_ms.items() if at_ms > now_ms
+        }
+        for _, progress, (ref, step, _) in starving[:MAX_SLOW_STARTS]:
+            self._retry_ms[progress.key] = now_ms + SLOW_START_RETRY_MS
             with self._state.guard(progress.key):
                 load, percent = self._choose_slow_worker(
                     ref, step, current.loads.get(progress.workflow.service, ()), current
@@ -271,10 +279,24 @@
                 model = self._state.interference_model
                 model.prepare_trial(step, load, current.now_ms)
                 run, link = self._record_run(progress, ref, step, load, current.now_ms)
-                run.pace = percent
+                if percent < FULL_PERCENT:
+                    run.pace, run.is_reduced = MIN_PERCENT, True
                 self._state.commits.mark(self._state.progress_key(progress.key))
                 yield run, link
 
+    def _services_with_capacity(self) -> set[str]:
+        """Return the services of which enough capacity is free for slow fillers."""
+        total: Counter[str] = Counter()
+        taken: Counter[str] = Counter()
+        for link in self._state.links.values():
+            total[link.entry.service] += link.load.entry.room.cpu
+            taken[link.entry.service] += link.load.taken.cpu
+        return {
+            service
+            for service, cpu in total.items()
+            if taken[service] <= MAX_TAKEN_SHARE * cpu
+        }
+
     def _choose_slow_worker(
         self,
         ref: TaskRef,
@@ -432,7 +454,9 @@
 
 def find_starving_filler(progress: WorkflowProgress, now_ms: Millis) -> LostTask | None:
     """Return the first waiting filler of a job that has had no run for some time."""
-    if now_ms - progress.last_run_ms() < SLOW_START_WAIT_MS or any(progress.runs()):
+    if now_ms - progress.added_ms < SLOW_START_AGE_MS or any(progress.runs()):
+        return None
+    if now_ms - progress.last_run_ms() < SLOW_START_WAIT_MS:
         return None
     for ref, step, task in progress.waiting():
         if step.is_filler:
--- a/hyssopweir/filler_interference.py
+++ b/hyssopweir/filler_interference.py
@@ -37,8 +37,10 @@
 PACING_TAIL = 0.95
 PLACEMENT_TAIL = 0.8
 # Speeds are multiples of the first, in percent; no filler runs below the second.
+# Workers start runs at the third.
 PERCENT_STEP = 5
 MIN_PERCENT = 20
+FULL_PERCENT = 100
 # Allowance for a rise of a task's own load while a filler runs, at most to its peak.
 MAX_LOAD_RISE = 0.1
 # Peaks decay by this share with each report, so that they follow a change of load.
--- a/hyssopweir/filler_pacing.py
+++ b/hyssopweir/filler_pacing.py
@@ -12,7 +12,9 @@
 
 from hyssopweir.clock import Millis
 from hyssopweir.filler_interference import (
+    FULL_PERCENT,
     LOW_INTERFERENCE,
+    MIN_PERCENT,
     PACING_TAIL,
     TAIL_WINDOW_MS,
     FillerInterference,
@@ -78,6 +80,9 @@
         if basis != self._targets_basis:
             self._targets_basis = basis
             self._targets = self._target_percents(fillers, load)
+            for run, _ in fillers:
+                if run.is_reduced and self._targets[run.ref] < FULL_PERCENT:
+                    self._targets[run.ref] = min(self._targets[run.ref], MIN_PERCENT)
         target_percents = self._targets
         if must_stop_all:
             target_percents = dict.fromkeys(target_percents, 0)
--- a/hyssopweir/run_commands.py
+++ b/hyssopweir/run_commands.py
@@ -9,6 +9,7 @@
 from hyssopweir.cell_state import CellState
 from hyssopweir.clock import Millis
 from hyssopweir.events import Event
+from hyssopweir.filler_interference import FULL_PERCENT
 from hyssopweir.task_state import Run, RunOutcome, RunPhase, RunRef
 
 STOP_RETRY_MS: Millis = 150
@@ -17,8 +18,6 @@
 # A speed that may be overridden by an earlier command is sent again at this interval,
 # shorter than the time for which a task may exceed its tail latency target.
 PACE_REPEAT_MS: Millis = 2_000
-# Speed at which workers start a run, in percent.
-FULL_PACE = 100
 # A worker that refused a start gets no runs until its next report has certainly come.
 REFUSAL_PAUSE_MS: Millis = 1_000
 
@@ -76,7 +75,7 @@
         if result is CommandResult.ACCEPTED:
             if run.phase is RunPhase.ORDERED:
                 run.phase = RunPhase.RUNNING
-                if run.pace < FULL_PACE:
+                if run.pace < FULL_PERCENT:
                     self.pace(run, link, run.pace, "start at a lower speed")
             if progress.is_final() or task.is_done:
                 self.stop(run, link, "job ended during the start")
--- a/hyssopweir/task_state.py
+++ b/hyssopweir/task_state.py
@@ -98,6 +98,7 @@
         "listed_born_ms",
         "is_adopted",
         "is_closed",
+        "is_reduced",
     )
 
     def __init__(self, ref: RunRef, worker: str, born_ms: Millis, now_ms: Millis):
@@ -127,6 +128,8 @@
         self.is_adopted = False
         # No earlier start command for this run can take effect any more.
         self.is_closed = False
+        # Started at the lowest speed, which it keeps until it may run at full speed.
+        self.is_reduced = False
 
     def is_at_work(self) -> bool:
         """Return whether the run is starting or running as far as is known."""
