--- a/hyssopweir/filler_interference.py
+++ b/hyssopweir/filler_interference.py
@@ -312,7 +312,9 @@
             added_utilization *= image_filter.confidence(step.image, now_ms)
             if _is_negligible(added_utilization, available):
                 continue
-            share = min(share, max(available, 0.0) / added_utilization)
+            if available <= 0.0:
+                return 0
+            share = min(share, available / added_utilization)
         return percent_of(share)
 
     def prepare_trial(self, step: Step, load: WorkerLoad, now_ms: Millis) -> None:
--- a/tests/test_filler_starts.py
+++ b/tests/test_filler_starts.py
@@ -1,12 +1,17 @@
 """Fillers of images that disturb, or once did, next to serving tasks on all workers."""
 
+import json
+
 import pytest
 
 from hyssopweir.events import Event
+from hyssopweir.filler_interference import FillerInterference
 from hyssopweir.resources import Resources
+from hyssopweir.task_state import Run, RunRef, TaskRef
+from hyssopweir.worker_load import WorkerLoad
 from hyssopweir.workflow_progress import WorkflowState
 from hyssopweir.workflows import Step
-from tests.cell_simulation import build_step, build_workflow
+from tests.cell_simulation import build_entry, build_step, build_workflow
 from tests.job_checks import events_of
 from tests.shared_workers import SERVING, SharedSimulation
 from tests.virtual_time import run_virtual
@@ -133,6 +138,18 @@
     run_virtual(main())
 
 
+def test_harmless_filler_has_no_speed_beside_an_overloaded_task() -> None:
+    """Guards against a job that fails as the speed of its filler can't be computed."""
+    model = FillerInterference()
+    harm = {"web": {"least_ms": 10.0, "peak": 0.9, "harm": {"mix": [0.0, 0.01]}}}
+    model.restore(json.dumps({"stamp": "1.1", "images": harm}).encode())
+    load = WorkerLoad(build_entry())
+    run = Run(RunRef(TaskRef("serving", 0, 0, 0), 1), "w0", 0, 0)
+    run.percent = 100
+    load.reserve(run, SERVING._replace(image="web", tail_target_ms=12))
+    assert model.start_percent(FILLER, load, 0) == 0
+
+
 @pytest.mark.parametrize("seed", range(3))
 @IMAGES
 def test_filler_whose_image_no_longer_disturbs_runs_and_is_done(
