--- a/hyssopweir/cell_scheduler.py
+++ b/hyssopweir/cell_scheduler.py
@@ -36,9 +36,10 @@
 NO_CAPACITY = Resources(-1, -1, -1)
 LostTask = tuple[TaskRef, Step, Task]
 # A filling job of the first age with nothing running for the second time gets a task
-# started at the lowest speed, while at most a share of its service's capacity is taken:
-# on a busy service, slow fillers cost the serving tasks more than they gain.
-SLOW_START_AGE_MS: Millis = 1_500
+# started at the lowest speed, while at most a share of its service's capacity is taken.
+# A younger job gains more from waiting for full speed, and on a busy service slow
+# fillers cost the serving tasks more than they gain.
+SLOW_START_AGE_MS: Millis = 3_000
 SLOW_START_WAIT_MS: Millis = 300
 MAX_TAKEN_SHARE = 0.6
 # Bounds the CPU use of these starts: how often a job is tried, and jobs in a pass.
