--- a/hyssopweir/cell.py
+++ b/hyssopweir/cell.py
@@ -547,6 +547,7 @@
             lambda link: self._reports.lapse_all(link, "lease has expired"),
             partial(self._may_be_extended, entry.worker_id),
         )
+        link.load.update_entry(entry, self._clock.now_ms())
         self.state.links[entry.worker_id] = link
         self._log.emit(
             Event.WORKER_LISTED,
--- a/hyssopweir/worker_load.py
+++ b/hyssopweir/worker_load.py
@@ -44,7 +44,8 @@
         self._tails_by_image: dict[str, float] | None = None
         self.is_confirmed = False
         self.is_listed = True
-        # Until then at least a leaving worker keeps running, as far as known.
+        # Until then at least a leaving worker keeps running, as far as known; 0 before
+        # its entry is known.
         self.leaves_at_ms: Millis = 0
         self.last_report_ms: Millis = 0
         self._failed_jobs: set[str] = set()
@@ -57,7 +58,7 @@
     def update_entry(self, entry: WorkerEntry, now_ms: Millis) -> None:
         """Replace the entry; a worker that announces its leaving keeps its time."""
         leaves_at_ms = now_ms + entry.leaves_in_ms
-        if self.entry.state is WorkerState.LEAVING:
+        if self.leaves_at_ms and self.entry.state is WorkerState.LEAVING:
             leaves_at_ms = min(leaves_at_ms, self.leaves_at_ms)
         self.leaves_at_ms = leaves_at_ms
         self.entry = entry
--- a/tests/test_leaving_workers.py
+++ b/tests/test_leaving_workers.py
@@ -113,3 +113,19 @@
         assert not is_running(simulation)
 
     run_virtual(main())
+
+
+def test_successor_lets_a_task_run_on_its_leaving_worker() -> None:
+    """Guards against a new owner that stops tasks before another worker has room."""
+
+    async def main() -> None:
+        simulation = await start_lasting_task(0)
+        worker = simulation.workers["w0"]
+        worker.entry = worker.entry._replace(
+            state=WorkerState.LEAVING, leaves_in_ms=6 * NOTICE_MS
+        )
+        await simulation.sleep_ms(500)
+        await simulation.owner().crash()
+        assert await measure_absence(simulation, 2 * NOTICE_MS) == 0
+
+    run_virtual(main())
