--- a/hyssopweir/cell_scheduler.py
+++ b/hyssopweir/cell_scheduler.py
@@ -242,6 +242,9 @@
                 if not step.is_endless or run.phase not in RELOCATED_PHASES:
                     continue
                 with self._state.guard_task(run.ref.task):
+                    found = self._state.find(run.ref.task)
+                    if found is None or found[0].is_final() or found[2].is_done:
+                        continue
                     wait_ms = held.hold_for(run.ref.task, link.entry.service, step)
                     if wait_ms == 0 and run.phase is RunPhase.RUNNING:
                         self._commands.stop(run, link, "worker is leaving")
--- a/tests/test_leaving_workers.py
+++ b/tests/test_leaving_workers.py
@@ -5,6 +5,7 @@
 from hyssopweir.agents import WorkerState
 from hyssopweir.clock import Millis
 from hyssopweir.resources import Resources
+from hyssopweir.workflow_progress import WorkflowState
 from tests.cell_simulation import (
     CellSimulation,
     build_entry,
@@ -129,3 +130,20 @@
         assert await measure_absence(simulation, 2 * NOTICE_MS) == 0
 
     run_virtual(main())
+
+
+def test_cancelled_task_on_a_leaving_worker_holds_no_other_worker() -> None:
+    """Guards against an idle worker that is kept for a run that only has to end."""
+
+    async def main() -> None:
+        simulation = await start_lasting_task(0)
+        simulation.add_worker(build_entry(1))
+        await simulation.sleep_ms(500)
+        simulation.workers["w0"].is_cut = True
+        announce_leaving(simulation, "w0")
+        assert (await simulation.instances[1].api.cancel(LASTING_JOB, 3_000)).is_ok()
+        await simulation.sleep_ms(300)
+        assert await simulation.submit(build_workflow("plain", build_step(1)))
+        assert await simulation.until("plain", WorkflowState.COMPLETED, 2_000)
+
+    run_virtual(main())
