--- a/hyssopweir/held_workers.py
+++ b/hyssopweir/held_workers.py
@@ -120,7 +120,7 @@
 
 def expected_end_ms(run: Run, step: Step, now_ms: Millis) -> Millis:
     """Return when the run of a task that ends is expected to end, not before now."""
-    if run.phase is RunPhase.STOPPING:
+    if run.phase is RunPhase.STOPPING and run.is_closed:
         return now_ms
     elapsed_ms = now_ms - run.since_ms
     duration_ms = step.estimated_ms
--- a/tests/test_held_workers.py
+++ b/tests/test_held_workers.py
@@ -5,7 +5,7 @@
 from hyssopweir.cell_scheduler import PlacementPass
 from hyssopweir.held_workers import MAX_HOLD_MS, HeldWorkers
 from hyssopweir.resources import Resources
-from hyssopweir.task_state import Run, RunRef, TaskRef
+from hyssopweir.task_state import Run, RunPhase, RunRef, TaskRef
 from hyssopweir.worker_load import WorkerLoad
 from tests.cell_simulation import (
     CellSimulation,
@@ -78,6 +78,22 @@
     assert held.kept == {}
 
 
+def test_run_that_refuses_to_stop_draws_no_lost_task_to_its_worker() -> None:
+    """Guards against a wait for a run whose worker answers no stop."""
+    loads = build_loads(SERVICES[0], 0, 2)
+    step = build_step(1, room=Resources(4_000, 1_000), estimated_ms=800)
+    for load in loads:
+        run = Run(RunRef(TaskRef("short", 0, 0, 0), 1), load.entry.worker_id, 0, 0)
+        load.reserve(run, step)
+    stuck, _ = next(iter(loads[0].runs.values()))
+    stuck.phase = RunPhase.STOPPING
+    held = HeldWorkers({SERVICES[0]: loads}, 4_000)
+    assert held.hold(SERVICES[0], LARGE_ROOM) == 1_000
+    stuck.is_closed = True
+    held = HeldWorkers({SERVICES[0]: loads}, 4_000)
+    assert held.hold(SERVICES[0], LARGE_ROOM) == 0
+
+
 async def start_endless_tasks(
     simulation: CellSimulation, order: tuple[str, str]
 ) -> None:
