Bound the workers that are held for late places

Holds for places that are expected later than 2.5 s are bounded by an eighth of the workers of the service, at least one. The test failed with 16 held workers and passes.

--- a/hyssopweir/held_workers.py
+++ b/hyssopweir/held_workers.py
@@ -15,6 +15,10 @@
 
 # No worker is kept free for a task whose place is expected later than this.
 MAX_HOLD_MS: Millis = 10_000
+# At most this share of the workers of a service, at least one, is kept free for places
+# that are expected later than this.
+LONG_HOLD_MS: Millis = 2_500
+MAX_LONG_SHARE = 0.125
 # Differences of expected waits below this don't decide which worker is held.
 WAIT_RESOLUTION_MS: Millis = 500
 # A run that exceeds its expected duration is assumed to take this share of its
@@ -34,6 +38,8 @@
         self._loads = loads
         self._now_ms = now_ms
         self.kept: dict[str, Resources] = {}
+        # By service, the workers held for a place that is expected late.
+        self._long_held: dict[str, set[str]] = {}
         self._forecasts: dict[str, list[tuple[Millis, Resources]]] = {}
 
     def hold_for(self, ref: TaskRef, service: str, step: Step) -> Millis | None:
@@ -74,6 +80,12 @@
         if best is None:
             return None
         worker_id = loads[best[2]].entry.worker_id
+        if best_wait_ms > LONG_HOLD_MS:
+            long_held = self._long_held.setdefault(service, set())
+            long_held.add(worker_id)
+            if len(long_held) > max(MAX_LONG_SHARE * len(loads), 1):
+                long_held.discard(worker_id)
+                return None
         self.kept[worker_id] = self._kept_on(worker_id).plus(charge)
         return best_wait_ms
 
--- a/tests/test_held_workers.py
+++ b/tests/test_held_workers.py
@@ -94,6 +94,19 @@
     assert held.hold(SERVICES[0], LARGE_ROOM) == 0
 
 
+def test_late_places_hold_an_eighth_of_the_workers() -> None:
+    """Guards against a cell without workers for others until long tasks end."""
+    loads = build_loads(SERVICES[0], 0, 16)
+    step = build_step(1, room=Resources(4_000, 1_000), estimated_ms=MAX_HOLD_MS - 1)
+    for load in loads:
+        run = Run(RunRef(TaskRef("long", 0, 0, 0), 1), load.entry.worker_id, 0, 0)
+        load.reserve(run, step)
+    held = HeldWorkers({SERVICES[0]: loads}, 0)
+    waits = [held.hold(SERVICES[0], LARGE_ROOM) for _ in loads]
+    assert waits.count(None) == 14
+    assert len(held.kept) == 2
+
+
 async def start_endless_tasks(
     simulation: CellSimulation, order: tuple[str, str]
 ) -> None:
