--- a/hyssopweir/run_reports.py
+++ b/hyssopweir/run_reports.py
@@ -150,6 +150,8 @@
             )
             run.phase = RunPhase.RUNNING
             run.is_closed = False
+            # A start without a reply was followed by no pace command.
+            run.is_pace_known = False
         if progress.is_final() or task.is_done:
             self._commands.stop(run, link, "job or task has ended")
 
