--- a/review/11/case.py
+++ b/review/11/case.py
@@ -24,10 +24,11 @@
 # The store answers in 4 ms, and 60 times as long for 4.5 s.
 SLOW_S = 0.236
 SLOW_FOR_S = 4.5
-PAUSE_S = 3.5
-ROUNDS = 7
-# Workers that crash in each of these times, 2 of 15.
+PAUSE_S = 2.5
+ROUNDS = 11
+# Workers that crash at once, 2 of 15, and how often others do in a time.
 CRASHES = 2
+TIMES = 2
 DOWN_S = 0.15
 
 
@@ -62,7 +63,7 @@
     await asyncio.sleep(2)
     for number in range(ROUNDS):
         if scene.is_troubled:
-            await _trouble(scene, scene.deployment.sites[2 * number :][:CRASHES])
+            await _trouble(scene, number)
         else:
             await asyncio.sleep(SLOW_FOR_S)
         await asyncio.sleep(PAUSE_S)
@@ -91,20 +92,24 @@
             state = data["state"] if status == 200 else ""
 
 
-async def _trouble(scene: Scene, sites: list[WorkerSite]) -> None:
+async def _trouble(scene: Scene, number: int) -> None:
     """Let the store be slow, and workers crash and start again meanwhile."""
     store = scene.store  # type: ignore[attr-defined]
     store.delay_s = SLOW_S
     scene.note("the store is slow")
     began_s = asyncio.get_running_loop().time()
-    await asyncio.gather(*(_crash(scene, site) for site in sites))
+    sites = scene.deployment.sites
+    for time in range(TIMES):
+        first = (number * TIMES + time) * CRASHES
+        chosen = [sites[(first + other) % len(sites)] for other in range(CRASHES)]
+        await asyncio.gather(*(_crash(scene, site) for site in chosen))
     await asyncio.sleep(began_s + SLOW_FOR_S - asyncio.get_running_loop().time())
     store.delay_s = 0.0
     scene.note("the store is as usual")
 
 
 async def _crash(scene: Scene, site: WorkerSite) -> None:
-    await asyncio.sleep(scene.rng.uniform(1.0, SLOW_FOR_S - DOWN_S - 1.5))
+    await asyncio.sleep(scene.rng.uniform(0.5, SLOW_FOR_S / TIMES - DOWN_S - 0.2))
     worker = site.worker.life.worker
     await site.crash()
     scene.note(f"worker {worker} has crashed")
