--- a/review/11/case.py
+++ b/review/11/case.py
@@ -1,6 +1,7 @@
 """A worker starts again while the store is slow, and its new ends are acknowledged unseen."""
 
 import asyncio
+import os
 import sys
 from pathlib import Path
 
@@ -136,4 +137,6 @@
 
 
 if __name__ == "__main__":
-    sys.exit(main(SHAPE, work_of, play, Path(__file__).parent, prepare))
+    is_troubled = os.environ.get("TROUBLE", "1") != "0"
+    record = Path(__file__).with_name("record.txt")
+    sys.exit(main(SHAPE, work_of, play, is_troubled, record, prepare))
--- a/review/harness_3/scene.py
+++ b/review/harness_3/scene.py
@@ -65,9 +65,13 @@
     """A running deployment, its clients and the lines of its record."""
 
     def __init__(
-        self, shape: DeploymentShape, work_of: Callable[[RunKey], Work], folder: Path
+        self,
+        shape: DeploymentShape,
+        work_of: Callable[[RunKey], Work],
+        folder: Path,
+        is_troubled: bool,
     ) -> None:
-        self.is_troubled = os.environ.get("TROUBLE", "1") != "0"
+        self.is_troubled = is_troubled
         self.record = EventRecord()
         self.rng = random.Random(os.environ.get("SEED", str(time.time_ns())))
         self.deployment = Deployment(
@@ -145,8 +149,8 @@
         return f"{self.rng.randrange(16**16):016x}"
 
 
-def write_record(scene: Scene, folder: Path, verdict: str) -> None:
-    """Write what was sent, answered and run, in the order of time."""
+def record_text(scene: Scene, verdict: str) -> str:
+    """Return what was sent, answered and run, in the order of time, and the verdict."""
     names = {"ClientCall", "JobSent"}
     events = [
         (event.at_ms, f"{type(event).__name__} {tuple(event)[1:]}")
@@ -155,14 +159,15 @@
     ]
     rows = sorted([*scene.lines, *events], key=lambda row: row[0])
     text = "".join(f"{at_ms / 1_000:9.3f} {line}\n" for at_ms, line in rows)
-    (folder / "record.txt").write_text(f"{text}{verdict}\n")
+    return f"{text}{verdict}\n"
 
 
 def main(
     shape: DeploymentShape,
     work_of: Callable[[RunKey], Work],
     play: Callable[[Scene], Awaitable[list[str]]],
-    case: Path,
+    is_troubled: bool,
+    record: Path,
     prepare: Callable[[Scene], None] = lambda scene: None,
 ) -> int:
     """Play a case; return 1 if a rule was broken, 0 if it held, 2 if it couldn't run."""
@@ -171,7 +176,7 @@
     logging.disable(logging.CRITICAL)
 
     async def run(folder: Path) -> int:
-        scene = Scene(shape, work_of, folder)
+        scene = Scene(shape, work_of, folder, is_troubled)
         status, verdict = NOT_RUN, "the case couldn't run"
         try:
             async with asyncio.timeout(LIMIT_S):
@@ -180,11 +185,12 @@
                 breaches = await play(scene)
             status = BROKEN if breaches else HELD
             verdict = "\n".join(breaches) or "the rule held"
-        except (OSError, TimeoutError, AssertionError) as exc:
+        except Exception as exc:
+            # Only a rule that was seen to be broken ends with 1.
             verdict = f"the case couldn't run: {exc!r}"
         finally:
             await scene.close()
-            write_record(scene, case, verdict)
+            record.write_text(record_text(scene, verdict))
         print(verdict)
         return status
 
