Report ends that a worker has forgotten before they were recorded

A worker numbers its ends from 1 in each process. Nothing told that a list began later than at the first end that its owner had not acknowledged; the tasks of the missing ends ran again as 'not listed by the worker'. Event 326 reports the gap, once, and counts in the metrics like all events. It decides nothing: a run that its worker doesn't list is over, whatever its end was.

--- a/hyssopweir/agent_link.py
+++ b/hyssopweir/agent_link.py
@@ -14,6 +14,7 @@
     WorkerEntry,
 )
 from hyssopweir.clock import Clock, Millis
+from hyssopweir.end_numbers import EndNumbers
 from hyssopweir.evacuations import Evacuations
 from hyssopweir.events import Event, EventLog
 from hyssopweir.fencing import FencingTokens
@@ -154,6 +155,7 @@
         # Calls for a former process may still be carried out by the current one.
         self._is_exposed = False
         self._acknowledged = 0
+        self._end_numbers = EndNumbers(entry.worker_id, log)
         self._is_silent = False
         # Results of the calls since the worker became silent; each is logged once.
         self._silent_results: set[CommandResult] = set()
@@ -280,6 +282,8 @@
         is_new_process = lease_reply.born_ms != self.born_ms
         if is_new_process:
             self._acknowledged = 0
+            if not is_first:
+                self._end_numbers.restart()
             # The entry was read before this reply, so that it is of no later process.
             self.former_births.update({self.born_ms, self.entry.born_ms})
             self.former_births.discard(lease_reply.born_ms)
@@ -315,12 +319,14 @@
         ends_stored = self._on_lease_reply(self, lease_reply, sent_ms)
         if ends_stored is None:
             return True
+        self._end_numbers.check(lease_reply)
         born_ms, last = self.born_ms, max(end.number for end in lease_reply.ended)
         await asyncio.wait([ends_stored], timeout=COMMIT_WAIT_MS / 1_000)
         if not ends_stored.done() or ends_stored.cancelled():
             return False
         if born_ms == self.born_ms:
             self._acknowledged = last
+            self._end_numbers.record_stored(last)
         return True
 
     def record_listed_restart(self, born_ms: Millis) -> None:
--- a/hyssopweir/events.py
+++ b/hyssopweir/events.py
@@ -75,6 +75,7 @@
     WORKER_LAPSED = 323
     WORKER_LISTED = 324
     WORKER_UNLISTED = 325
+    ENDS_MISSING = 326
 
     REQUEST_RECEIVED = 400
     REQUEST_QUEUED = 401
@@ -168,6 +169,7 @@
         Event.SHARD_LOST,
         Event.WORKER_UNREACHABLE,
         Event.WORKER_REPLY_INVALID,
+        Event.ENDS_MISSING,
         Event.STORE_DOWN,
         Event.STORE_CALL_FAILED,
         Event.LIST_UNAVAILABLE,
