Acknowledge ends only on the connection on which they were listed

Cause: a worker numbers its ends from 1 in each process, and a renewal names the worker, not the process. AgentLink repeated the last number until a reply showed another birth or a renewal failed. While commits wait for a slow store, up to 0.8 s pass between two renewals; a restart in that time fails none, and the next process forgets its ends up to the number of the former one.

Change: an acknowledgement carries the connection of the reply that listed the ends, is sent on that connection or not at all, and once. The connections of a process end with it, so that none leads to the next one. Renewals have connections of their own, as other calls would take the one that is needed. When it is closed, the worker gets no new work until its next report.

--- a/hyssopweir/agent_link.py
+++ b/hyssopweir/agent_link.py
@@ -7,6 +7,7 @@
 from result import Err
 
 from hyssopweir.agents import (
+    Acknowledgement,
     Agent,
     CommandResult,
     LeaseReply,
@@ -154,7 +155,8 @@
         self._listed_restart_ms: Millis = 0
         # Calls for a former process may still be carried out by the current one.
         self._is_exposed = False
-        self._acknowledged = 0
+        # For the next renewal only: the worker forgets the ends once.
+        self._acknowledgement: Acknowledgement | None = None
         self._end_numbers = EndNumbers(entry.worker_id, log)
         self._is_silent = False
         # Results of the calls since the worker became silent; each is logged once.
@@ -233,11 +235,11 @@
             lease_until_ms = None if self._is_silent else self.lease_until_ms() or None
             self._lease_until_ms = max(self._lease_until_ms, lease_until_ms or 0)
             token = self._token
+            acknowledgement, self._acknowledgement = self._acknowledgement, None
             reply = await self._agent.renew_leases(
                 self.entry,
                 token,
-                # The worker may have restarted since and numbered its ends anew.
-                0 if self._is_silent else self._acknowledged,
+                acknowledgement,
                 lease_until_ms,
                 wait_ms,
                 wait_ms + self._timeout_ms(),
@@ -281,7 +283,6 @@
         is_first = self._clock_reading is None
         is_new_process = lease_reply.born_ms != self.born_ms
         if is_new_process:
-            self._acknowledged = 0
             if not is_first:
                 self._end_numbers.restart()
             # The entry was read before this reply, so that it is of no later process.
@@ -320,13 +321,12 @@
         if ends_stored is None:
             return True
         self._end_numbers.check(lease_reply)
-        born_ms, last = self.born_ms, max(end.number for end in lease_reply.ended)
         await asyncio.wait([ends_stored], timeout=COMMIT_WAIT_MS / 1_000)
         if not ends_stored.done() or ends_stored.cancelled():
             return False
-        if born_ms == self.born_ms:
-            self._acknowledged = last
-            self._end_numbers.record_stored(last)
+        last = max(end.number for end in lease_reply.ended)
+        self._end_numbers.record_stored(last)
+        self._acknowledgement = Acknowledgement(last, lease_reply.connection)
         return True
 
     def record_listed_restart(self, born_ms: Millis) -> None:
@@ -372,6 +372,10 @@
         result = self._check_fenced(result, token)
         if result is CommandResult.FENCED:
             return
+        if result is CommandResult.DISCONNECTED:
+            self.load.discard_report(self._clock.now_ms())
+            self._end_numbers.record_disconnection()
+            return
         self._is_silent = True
         if result not in self._silent_results:
             self._silent_results.add(result)
--- a/hyssopweir/agents.py
+++ b/hyssopweir/agents.py
@@ -74,6 +74,7 @@
     """Reply to a lease renewal: all runs in progress and the unacknowledged ends.
 
     A partial reply leaves out later ends, so that a run it doesn't list may have ended.
+    ``connection`` identifies the connection that the reply arrived on.
     """
 
     clock_ms: Millis
@@ -81,6 +82,18 @@
     running: list[RunStatus]
     ended: list[EndedRun]
     is_partial: bool = False
+    connection: int = 0
+
+
+class Acknowledgement(NamedTuple):
+    """Permission for one process of a worker to forget its ends up to ``number``.
+
+    The next process of the worker has the same address and numbers its ends anew. Only
+    the connection that the ends were listed on is certain not to lead to it.
+    """
+
+    number: int
+    connection: int
 
 
 class CommandResult(Enum):
@@ -99,6 +112,8 @@
     OTHER_LIFE = "other_life"
     INVALID = "invalid"
     NOT_SENT = "not_sent"
+    # The connection that the command had to be sent on is closed.
+    DISCONNECTED = "disconnected"
     # The worker's machine answered that no process listens at its address.
     NO_LISTENER = "no_listener"
     UNKNOWN = "unknown"
@@ -141,10 +156,13 @@
         self,
         worker: WorkerEntry,
         token: int,
-        acknowledged: int,
+        acknowledgement: Acknowledgement | None,
         lease_until_ms: Millis | None,
         wait_ms: Millis,
         timeout_ms: Millis,
     ) -> Result[LeaseReply, CommandResult]:
-        """Renew the lease of all runs and wait up to ``wait_ms`` for one to end."""
+        """Renew the lease of all runs and wait up to ``wait_ms`` for one to end.
+
+        With an acknowledgement, the call is sent on its connection or not at all.
+        """
         ...
--- a/hyssopweir/platform/http_agent.py
+++ b/hyssopweir/platform/http_agent.py
@@ -8,6 +8,7 @@
 from result import Err, Ok, Result
 
 from hyssopweir.agents import (
+    Acknowledgement,
     CommandResult,
     EndedRun,
     LeaseReply,
@@ -108,10 +109,17 @@
 
 
 class HttpAgent:
-    """Implementation of ``Agent`` over the HTTP interface of a worker."""
+    """Implementation of ``Agent`` over the HTTP interface of a worker.
 
-    def __init__(self, client: JsonHttpClient, log: EventLog) -> None:
+    ``renewals`` sends the renewals, which follow one another: other calls would take
+    the connection that an acknowledgement needs.
+    """
+
+    def __init__(
+        self, client: JsonHttpClient, renewals: JsonHttpClient, log: EventLog
+    ) -> None:
         self._client = client
+        self._renewals = renewals
         self._faults = FaultLog(log)
 
     async def start(
@@ -166,28 +174,40 @@
         self,
         worker: WorkerEntry,
         token: int,
-        acknowledged: int,
+        acknowledgement: Acknowledgement | None,
         lease_until_ms: Millis | None,
         wait_ms: Millis,
         timeout_ms: Millis,
     ) -> Result[LeaseReply, CommandResult]:
         """Renew the lease of all runs; wait up to ``wait_ms`` for a run to end."""
-        body = {"fencingToken": token, "acknowledged": acknowledged}
+        number, connection = acknowledgement or (0, None)
+        body = {"fencingToken": token, "acknowledged": number}
         if lease_until_ms is not None:
             body["deadlineMs"] = lease_until_ms
         if wait_ms:
             body["waitMs"] = wait_ms
-        result = await self._send(worker, "/hold", body, timeout_ms)
+        result = await self._renewals.request(
+            "POST",
+            (worker.host, worker.port),
+            "/hold",
+            timeout_ms,
+            body,
+            headers=_headers(worker),
+            connection=connection,
+        )
         if isinstance(result, Err):
             return Err(_result_from_error(result.err_value))
-        if result.ok_value.status != OK:
-            return Err(_result_from_response(result.ok_value))
+        response = result.ok_value
+        if response.status != OK:
+            return Err(_result_from_response(response))
         lease_reply = self._faults.read(
             f"/hold of {worker.worker_id}",
             parse_lease_reply,
-            result.ok_value.data,
+            response.data,
         )
-        return Err(CommandResult.INVALID) if lease_reply is None else Ok(lease_reply)
+        if lease_reply is None:
+            return Err(CommandResult.INVALID)
+        return Ok(lease_reply._replace(connection=response.connection))
 
     async def _send_command(
         self,
@@ -214,11 +234,17 @@
             path,
             timeout_ms,
             body,
-            headers={"Expected-Instance": worker.worker_id},
+            headers=_headers(worker),
         )
 
 
+def _headers(worker: WorkerEntry) -> dict[str, str]:
+    return {"Expected-Instance": worker.worker_id}
+
+
 def _result_from_error(error: ExchangeError) -> CommandResult:
+    if error.kind is ExchangeErrorKind.CLOSED:
+        return CommandResult.DISCONNECTED
     if error.kind is ExchangeErrorKind.NO_LISTENER:
         return CommandResult.NO_LISTENER
     if error.kind in UNSENT_KINDS:
--- a/hyssopweir/platform/http_row_store.py
+++ b/hyssopweir/platform/http_row_store.py
@@ -86,7 +86,7 @@
         )
         if isinstance(result, Err):
             return Err(_failure_from_error(result.err_value))
-        status, data = result.ok_value
+        status, data, _ = result.ok_value
         try:
             if status == OK:
                 return Ok(Committed(_parse_version(data)))
--- a/hyssopweir/platform/instance.py
+++ b/hyssopweir/platform/instance.py
@@ -42,6 +42,7 @@
     settings_path,
 )
 from hyssopweir.queue_policies import QueueTable
+from hyssopweir.silent_connections import SilentAddresses
 from hyssopweir.text_metrics import CONTENT_TYPE, TextMetrics
 from hyssopweir.workflow_api import WorkflowApi
 
@@ -74,7 +75,9 @@
             clock,
             self._log,
         )
-        self._client = JsonHttpClient()
+        silent = SilentAddresses()
+        self._client = JsonHttpClient(silent)
+        self._renewals = JsonHttpClient(silent)
         self._store = store = HttpRowStore(self._client, settings.store)
         self._queues = QueueTable()
         self._api = WorkflowApi(store, clock, self._log)
@@ -96,7 +99,7 @@
                 settings.remote_factor,
             ),
             store,
-            HttpAgent(self._client, self._log),
+            HttpAgent(self._client, self._renewals, self._log),
             self._new_listing,
             clock,
             self._log,
@@ -172,6 +175,7 @@
         for runner in self._runners:
             await runner.cleanup()
         await self._client.close()
+        await self._renewals.close()
         self._log.emit(Event.INSTANCE_STOPPED)
 
     def request_stop(self) -> None:
--- a/hyssopweir/platform_client.py
+++ b/hyssopweir/platform_client.py
@@ -30,7 +30,13 @@
     parse_bounded_json,
 )
 from hyssopweir.settings import Address
-from hyssopweir.silent_connections import Connector, SilentAddresses
+from hyssopweir.silent_connections import (
+    ConnectionChoice,
+    ConnectionClosedError,
+    Connector,
+    SilentAddresses,
+    connection_choice,
+)
 from hyssopweir.table import Operation, Page, Put, Row, operation_to_dict
 
 T = TypeVar("T")
@@ -60,11 +66,15 @@
 
 
 class HttpReply(NamedTuple):
-    """Complete HTTP reply; ``tag`` is its entity tag, or empty if it has none."""
+    """Complete HTTP reply; ``tag`` is its entity tag, or empty if it has none.
+
+    ``connection`` is the number of the connection that it arrived on.
+    """
 
     status: int
     body: bytes
     tag: str = ""
+    connection: int = 0
 
 
 class ExchangeErrorKind(Enum):
@@ -72,6 +82,7 @@
 
     NOT_CONNECTED = "no connection could be opened"
     NO_LISTENER = "no process listens at the address"
+    CLOSED = "the required connection is closed"
     NO_ANSWER = "no complete reply"
     MALFORMED = "malformed HTTP reply"
     TOO_LARGE = "the reply is too large"
@@ -79,7 +90,11 @@
 
 # Nothing of the request was sent.
 UNSENT_KINDS = frozenset(
-    {ExchangeErrorKind.NOT_CONNECTED, ExchangeErrorKind.NO_LISTENER}
+    {
+        ExchangeErrorKind.NOT_CONNECTED,
+        ExchangeErrorKind.NO_LISTENER,
+        ExchangeErrorKind.CLOSED,
+    }
 )
 
 
@@ -169,13 +184,17 @@
     limit: int = MAX_REPLY_BYTES,
     headers: Mapping[str, str] | None = None,
     idle_timeout_ms: Millis | None = None,
+    connection: int | None = None,
 ) -> Result[HttpReply, ExchangeError]:
     """Send a request and read the complete reply of at most ``limit`` bytes.
 
     With ``idle_timeout_ms``, ``timeout_ms`` limits only the time until the reply
-    begins, and ``idle_timeout_ms`` each wait for the next part of it.
+    begins, and ``idle_timeout_ms`` each wait for the next part of it. With
+    ``connection``, the request is sent on the connection of that number or not at all.
     """
     progress = ExchangeProgress()
+    choice = ConnectionChoice(connection)
+    token = connection_choice.set(choice)
     time_limit = ExchangeLimit(timeout_ms, idle_timeout_ms)
     try:
         url = _build_url(*address, path)
@@ -195,7 +214,10 @@
             ) as response,
         ):
             time_limit.extend()
-            return await _read_reply(response, limit, progress, time_limit)
+            reply = await _read_reply(response, limit, progress, time_limit)
+            if isinstance(reply, Err):
+                return reply
+            return Ok(reply.ok_value._replace(connection=choice.used))
     except (aiohttp.ClientResponseError, HttpProcessingError) as exc:
         return Err(ExchangeError(ExchangeErrorKind.MALFORMED, _describe(exc)))
     # A port out of range raises OverflowError.
@@ -206,6 +228,8 @@
             detail = _describe_timeout(progress)
         kind, received_bytes = _kind_of(exc, progress), progress.received_bytes
         return Err(ExchangeError(kind, detail, received_bytes=received_bytes))
+    finally:
+        connection_choice.reset(token)
 
 
 def _record_timeout(
@@ -231,6 +255,8 @@
 def _kind_of(exc: Exception, progress: ExchangeProgress) -> ExchangeErrorKind:
     if progress.sent_s is not None:
         return ExchangeErrorKind.NO_ANSWER
+    if isinstance(exc, ConnectionClosedError):
+        return ExchangeErrorKind.CLOSED
     cause = exc.os_error if isinstance(exc, aiohttp.ClientConnectorError) else exc
     if isinstance(cause, ConnectionRefusedError):
         return ExchangeErrorKind.NO_LISTENER
--- a/hyssopweir/silent_connections.py
+++ b/hyssopweir/silent_connections.py
@@ -1,8 +1,10 @@
-"""Connections that went silent without a reset, and are not to be reused."""
+"""Choice of the connection for a request: by number, and none that went silent."""
 
 import asyncio
+from contextvars import ContextVar
 from functools import partial
-from weakref import WeakKeyDictionary
+from itertools import count
+from weakref import WeakKeyDictionary, WeakValueDictionary
 
 import aiohttp
 from aiohttp.connector import Connection
@@ -32,11 +34,32 @@
         return replied_s < self._sent_s.get(address, replied_s)
 
 
+class ConnectionClosedError(aiohttp.ClientConnectionError):
+    """The connection that a request had to be sent on is closed."""
+
+
+class ConnectionChoice:
+    """Number of the connection that a request needs, if any, and of the one it got."""
+
+    def __init__(self, required: int | None) -> None:
+        self.required = required
+        self.used = 0
+
+
+# aiohttp passes no such choice on to its connector.
+connection_choice: ContextVar[ConnectionChoice | None] = ContextVar(
+    "connection_choice", default=None
+)
+
+
 class Connector(aiohttp.TCPConnector):
     """Connector that does not reuse connections that may have gone silent.
 
     A connection can go silent without a reset, often together with all others that are
     open. It would cost each of the next calls its timeout.
+
+    Connections are numbered. A request that requires one of them gets no other, which
+    may lead to the next process at the address.
     """
 
     def __init__(self, connections: int, silent: SilentAddresses) -> None:
@@ -46,6 +69,11 @@
         self._replied_s: WeakKeyDictionary[asyncio.Transport, float] = (
             WeakKeyDictionary()
         )
+        self._next_number = count(1)
+        self._numbers: WeakKeyDictionary[asyncio.Transport, int] = WeakKeyDictionary()
+        self._by_number: WeakValueDictionary[int, asyncio.Transport] = (
+            WeakValueDictionary()
+        )
 
     async def connect(
         self,
@@ -53,7 +81,44 @@
         traces: list[Trace],
         timeout: aiohttp.ClientTimeout,
     ) -> Connection:
-        """Return a connection that has not gone silent as far as is known."""
+        """Return a connection that has not gone silent as far as is known.
+
+        Raise ``ConnectionClosedError`` if the request requires one that is closed.
+        """
+        choice = connection_choice.get()
+        if choice is not None and not self._is_open(choice.required):
+            raise ConnectionClosedError
+        conn = await self._connect(req, traces, timeout)
+        if choice is None:
+            return conn
+        choice.used = self._number(conn.transport)
+        if choice.required not in (None, choice.used):
+            conn.release()
+            raise ConnectionClosedError
+        return conn
+
+    def _is_open(self, number: int | None) -> bool:
+        if number is None:
+            return True
+        transport = self._by_number.get(number)
+        return transport is not None and not transport.is_closing()
+
+    def _number(self, transport: asyncio.Transport | None) -> int:
+        """Return the number of a connection, 0 if it is closed."""
+        if transport is None:
+            return 0
+        if transport not in self._numbers:
+            number = next(self._next_number)
+            self._numbers[transport] = number
+            self._by_number[number] = transport
+        return self._numbers[transport]
+
+    async def _connect(
+        self,
+        req: aiohttp.ClientRequest,
+        traces: list[Trace],
+        timeout: aiohttp.ClientTimeout,
+    ) -> Connection:
         address = (req.url.raw_host or "", req.url.port or 0)
         while True:
             conn = await super().connect(req, traces, timeout)
--- a/tests/agent_fakes.py
+++ b/tests/agent_fakes.py
@@ -14,6 +14,7 @@
 
 from hyssopweir.agent_link import LONGEST_LEASE_MS
 from hyssopweir.agents import (
+    Acknowledgement,
     CommandResult,
     EndedRun,
     LeaseReply,
@@ -405,11 +406,16 @@
         self,
         worker: WorkerEntry,
         token: int,
-        acknowledged: int,
+        acknowledgement: Acknowledgement | None,
         lease_until_ms: Millis | None,
         wait_ms: Millis,
         timeout_ms: Millis,
     ) -> Result[LeaseReply, CommandResult]:
+        # The connections to a worker end with its process.
+        life = self._workers[worker.worker_id].lives
+        if acknowledgement is not None and acknowledgement.connection != life:
+            return Err(CommandResult.DISCONNECTED)
+        acknowledged = acknowledgement.number if acknowledgement is not None else 0
         if not await self._reach(worker, timeout_ms):
             return Err(CommandResult.UNKNOWN)
         refusal = self._refusal(worker.worker_id)
@@ -417,6 +423,8 @@
             return Err(refusal)
         fake = self._workers[worker.worker_id]
         limit_ms = self._clock.now_ms() + wait_ms
+        if acknowledged and fake.lives != life:
+            return Err(CommandResult.UNKNOWN)
         life = fake.lives
         reply = fake.renew_leases(token, acknowledged, lease_until_ms)
         while self._clock.now_ms() < limit_ms:
@@ -430,4 +438,4 @@
             reply = fake.renew_leases(token, acknowledged, lease_until_ms)
         if isinstance(reply, CommandResult):
             return Err(reply)
-        return Ok(reply)
+        return Ok(reply._replace(connection=life))
--- a/tests/cell_simulation.py
+++ b/tests/cell_simulation.py
@@ -311,3 +311,11 @@
     step = step._replace(tasks=cpu // step.room.cpu)
     assert await simulation.submit(build_workflow(blocker, step))
     await simulation.sleep_ms(300)
+
+
+async def run_short_tasks(simulation: CellSimulation, job: str, tasks: int) -> None:
+    """Run short tasks one after the other on each worker."""
+    step = build_step(tasks, room=Resources(8_000, 1_000), estimated_ms=100)
+    instance = simulation.instances.index(simulation.owner())
+    assert await simulation.submit(build_workflow(job, step), instance)
+    await simulation.sleep_ms(tasks * 300)
--- a/tests/platform_cluster.py
+++ b/tests/platform_cluster.py
@@ -224,11 +224,26 @@
         self.records: list[Any] = []
         self.store_port = 0
         self.worker_port = 0
+        self._worker_runner: web.ServerRunner | None = None
 
     @property
     def rows(self) -> HttpRowStore:
         return HttpRowStore(self.client, (HOST, self.store_port))
 
+    async def start_worker(self) -> None:
+        """Start the process of the worker, again at the same address."""
+        await self.stop_worker()
+        self.worker = WorkerServer()
+        address = (HOST, self.worker_port)
+        self._worker_runner = await serve_http(self.worker.handle, address)
+        self.worker_port = port_of(self._worker_runner)
+
+    async def stop_worker(self) -> None:
+        """Stop the process of the worker with all its connections."""
+        if self._worker_runner is not None:
+            await self._worker_runner.cleanup()
+            self._worker_runner = None
+
     def log(self) -> EventLog:
         log = EventLog("kista-1", "kista", Clock())
         log.subscribe(self.records.append)
@@ -275,11 +290,11 @@
 async def running_platform() -> AsyncIterator[PlatformCluster]:
     cluster = PlatformCluster()
     store = await serve_http(cluster.store.handle, (HOST, 0))
-    worker = await serve_http(cluster.worker.handle, (HOST, 0))
-    cluster.store_port, cluster.worker_port = port_of(store), port_of(worker)
+    await cluster.start_worker()
+    cluster.store_port = port_of(store)
     try:
         yield cluster
     finally:
         await cluster.client.close()
         await store.cleanup()
-        await worker.cleanup()
+        await cluster.stop_worker()
--- a/tests/test_end_numbers.py
+++ b/tests/test_end_numbers.py
@@ -6,7 +6,12 @@
 from hyssopweir.events import Event
 from hyssopweir.resources import Resources
 from tests.agent_fakes import FakeWorker
-from tests.cell_simulation import CellSimulation, build_step, build_workflow
+from tests.cell_simulation import (
+    CellSimulation,
+    build_step,
+    build_workflow,
+    run_short_tasks,
+)
 from tests.virtual_time import run_virtual
 
 # As the number of a former process that had ended that many runs.
@@ -22,14 +27,6 @@
     ]
 
 
-async def run_tasks(simulation: CellSimulation, job: str, tasks: int) -> None:
-    """Run short tasks one after the other on the only worker."""
-    step = build_step(tasks, room=Resources(8_000, 1_000), estimated_ms=100)
-    instance = simulation.instances.index(simulation.owner())
-    assert await simulation.submit(build_workflow(job, step), instance)
-    await simulation.sleep_ms(tasks * 300)
-
-
 async def forget_end(simulation: CellSimulation, worker: FakeWorker) -> None:
     """Let a call acknowledge the end of a run that its owner has not seen."""
     while not worker.running:
@@ -48,7 +45,7 @@
     async def run_scenario() -> None:
         simulation = CellSimulation(workers=1)
         await simulation.sleep_ms(1_500)
-        await run_tasks(simulation, "j1", 5)
+        await run_short_tasks(simulation, "j1", 5)
         worker = simulation.workers["w0"]
         worker.restart(simulation.clock.wall_ms())
         await simulation.sleep_ms(1_500)
@@ -69,10 +66,10 @@
     async def run_scenario() -> None:
         simulation = CellSimulation(workers=1)
         await simulation.sleep_ms(1_500)
-        await run_tasks(simulation, "j1", 5)
+        await run_short_tasks(simulation, "j1", 5)
         await simulation.owner().crash()
         await simulation.sleep_ms(3_000)
-        await run_tasks(simulation, "j2", 5)
+        await run_short_tasks(simulation, "j2", 5)
         assert simulation.workers["w0"].count >= 10
         assert missing_ends(simulation) == []
 
--- a/tests/test_odd_workers.py
+++ b/tests/test_odd_workers.py
@@ -170,7 +170,8 @@
 
     async def scenario() -> None:
         response = Response(409, {"reason": reason})
-        agent = HttpAgent(FixedClient(response), EventLog("a", "dc", Clock()))
+        client = FixedClient(response)
+        agent = HttpAgent(client, client, EventLog("a", "dc", Clock()))
         entry = parse_worker_entry("w", json.dumps(ENTRY).encode())
         ref = RunRef(TaskRef("j", 0, 0, 0), 1)
         assert await agent.stop(entry, ref, 1, 100) is CommandResult.INVALID
@@ -196,10 +197,11 @@
         records: list[Any] = []
         log = EventLog("a", "dc", Clock())
         log.subscribe(records.append)
-        agent = HttpAgent(FixedClient(Response(200, json.loads(body))), log)
+        client = FixedClient(Response(200, json.loads(body)))
+        agent = HttpAgent(client, client, log)
         entry = parse_worker_entry("w", json.dumps(ENTRY).encode())
         for _ in range(3):
-            reply = await agent.renew_leases(entry, 1, 0, None, 0, 100)
+            reply = await agent.renew_leases(entry, 1, None, None, 0, 100)
             assert reply == Err(CommandResult.INVALID)
         assert [rec.event for rec in records] == [Event.BAD_INPUT]
 
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -152,7 +152,7 @@
     async def main() -> None:
         async with running_platform() as cluster:
             cluster.worker.fixed_reply = (status, data)
-            agent = HttpAgent(cluster.client, cluster.log())
+            agent = HttpAgent(cluster.client, cluster.client, cluster.log())
             command = StartCommand(RUN_REF, "paint", 9_000, 7, saved="0b")
             reply = await agent.start(worker_entry(cluster), command, 1_000)
             assert reply.result is expected
@@ -175,7 +175,7 @@
     async def main() -> None:
         async with running_platform() as cluster:
             entry = worker_entry(cluster)._replace(port=free_ports(1)[0])
-            agent = HttpAgent(cluster.client, cluster.log())
+            agent = HttpAgent(cluster.client, cluster.client, cluster.log())
             refused = await agent.stop(entry, RUN_REF, 1, 500)
             assert refused is CommandResult.NO_LISTENER
             replaced = worker_entry(cluster, "i-2")
@@ -201,9 +201,9 @@
                     "finished": [[58, name, 1, "lapsed", ""]],
                 },
             )
-            agent = HttpAgent(cluster.client, cluster.log())
+            agent = HttpAgent(cluster.client, cluster.client, cluster.log())
             reply = await agent.renew_leases(
-                worker_entry(cluster), 7, 57, None, 0, 1_000
+                worker_entry(cluster), 7, None, None, 0, 1_000
             )
             lease_reply = reply.unwrap()
             assert lease_reply.born_ms == 3
@@ -212,7 +212,7 @@
             assert "deadlineMs" not in cluster.worker.requests[0][1]
             cluster.worker.fixed_reply = (200, {"clockMs": 10, "running": [["junk"]]})
             malformed = await agent.renew_leases(
-                worker_entry(cluster), 7, 57, 9, 0, 1_000
+                worker_entry(cluster), 7, None, 9, 0, 1_000
             )
             assert malformed == Err(CommandResult.INVALID)
 
--- a/tests/test_run_end_evidence.py
+++ b/tests/test_run_end_evidence.py
@@ -92,7 +92,7 @@
         port = server.sockets[0].getsockname()[1]
         entry = build_entry(host=HOST, port=port)
         client = JsonHttpClient()
-        agent = HttpAgent(client, EventLog("a", "kista", Clock()))
+        agent = HttpAgent(client, client, EventLog("a", "kista", Clock()))
         first = await agent.start(entry, COMMAND, 2_000)
         second = await agent.start(entry, COMMAND, 2_000)
         await asyncio.sleep(0.2)
@@ -283,7 +283,7 @@
         await site.start()
         entry = build_entry(host=HOST, port=runner.addresses[0][1])
         client = JsonHttpClient()
-        agent = HttpAgent(client, EventLog("a", "kista", Clock()))
+        agent = HttpAgent(client, client, EventLog("a", "kista", Clock()))
         results = [
             (await agent.start(entry, COMMAND, 1_000)).result,
             await agent.stop(entry, REF, 7, 1_000),
--- a/tests/test_run_ends.py
+++ b/tests/test_run_ends.py
@@ -220,7 +220,8 @@
 
 async def result_of_status(status: int) -> CommandResult:
     """Return what the agent makes of a status that the protocol does not have."""
-    agent = HttpAgent(ProxyClient(status), EventLog("a", "dc", VirtualClock()))
+    client = ProxyClient(status)
+    agent = HttpAgent(client, client, EventLog("a", "dc", VirtualClock()))
     ref = RunRef(TaskRef(JOB, 0, 0, 0), 1)
     return await agent.stop(build_entry(), ref, 1, CALL_TIMEOUT_MS)
 
--- a/tests/test_worker_lives.py
+++ b/tests/test_worker_lives.py
@@ -18,10 +18,12 @@
     WorkerEntry,
 )
 from hyssopweir.clock import Millis
+from hyssopweir.events import Event
 from hyssopweir.resources import Resources
 from hyssopweir.workflow_progress import WorkflowState
 from tests.agent_fakes import FakeWorker
 from tests.cell_simulation import CellSimulation, build_step, build_workflow
+from tests.row_fakes import LATENCY_MS
 from tests.virtual_time import run_virtual
 
 FORMER_CLOCK_MS: Millis = 400_000
@@ -29,6 +31,8 @@
 CUT_MS: Millis = 9_000
 # The store removes the entry of a silent worker after three heartbeats.
 LISTED_MS: Millis = 3_300
+# The store of the deployments answers in 4 ms, and up to 60 times later.
+SLOW_STORE_MS: Millis = 240
 # By then the owner has heard a worker that is back in reach.
 HEARD_MS: Millis = 1_500
 
@@ -42,10 +46,15 @@
         await simulation.clock.sleep_ms(random.randint(1, 30))
 
 
-async def restart(worker: FakeWorker, simulation: CellSimulation, seed: int) -> None:
+async def restart(
+    worker: FakeWorker,
+    simulation: CellSimulation,
+    seed: int,
+    dark_ms: Millis = DARK_MS,
+) -> None:
     """Let a worker crash without a sign, and start again under its id."""
     worker.is_cut = True
-    await simulation.sleep_ms(DARK_MS)
+    await simulation.sleep_ms(dark_ms)
     clock_ms = Random(seed).randrange(FORMER_CLOCK_MS)
     worker.restart(simulation.clock.wall_ms(), clock_ms)
     worker.entry = worker.entry._replace(born_ms=worker.born_ms)
@@ -204,3 +213,35 @@
         assert simulation.work.breaches == []
 
     run_virtual(run_scenario())
+
+
+@pytest.mark.parametrize("seed", range(6))
+@pytest.mark.parametrize("dark_ms", [0, 150])
+def test_ends_of_a_restarted_worker_are_not_acknowledged_unseen(
+    dark_ms: Millis, seed: int
+) -> None:
+    """Guards against done tasks that run again after a restart beside a slow store.
+
+    The number of a former process makes the next one forget ends that nobody has seen.
+    """
+
+    async def run_scenario() -> None:
+        simulation = await build_simulation(seed)
+        random = Random(seed)
+        for instance in simulation.instances:
+            instance.faults.latency_ms = SLOW_STORE_MS
+        # Enough to keep all workers at work until the last restart.
+        step = build_step(2_000, room=Resources(1_000, 100), estimated_ms=100)
+        assert await simulation.submit(build_workflow("j1", step))
+        for number in range(16):
+            await simulation.sleep_ms(random.randint(200, 700))
+            worker = simulation.workers[f"w{number % 4}"]
+            await restart(worker, simulation, seed + number, dark_ms)
+        for instance in simulation.instances:
+            instance.faults.latency_ms = LATENCY_MS
+        assert await simulation.until("j1", WorkflowState.COMPLETED, 60_000)
+        assert simulation.work.breaches == []
+        events = {record.event for record in simulation.records}
+        assert Event.ENDS_MISSING not in events
+
+    run_virtual(run_scenario())
