Give up a renewal once the restart of its worker is known

The connection to a process that has ended may hang, so that its renewal stays under way for up to 1.3 s. The reply to a start shows the restart after a few ms and raises the token, but no call carried it to the new process before the renewal had timed out. PROTOCOL.md: a call without a reply 'may also be executed seconds later'; if the new process carries the renewal out, it forgets ends that nobody has seen.

Change: _record_restart gives up the renewal under way, and the next one, with the raised token, is sent at once. The new process refuses the late one from then on.

RefusingWorker of test_run_end_evidence carries out a renewal that its sender has given up, as a worker does; its assertions stay: the renewal is refused, and the cell is kept.

--- a/hyssopweir/agent_link.py
+++ b/hyssopweir/agent_link.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 from typing import Any, NamedTuple
 
-from result import Err
+from result import Err, Result
 
 from hyssopweir.agents import (
     Acknowledgement,
@@ -149,6 +149,8 @@
         self._lease_until_ms: Millis = 0
         # Local time until which other calls may have extended its leases.
         self._foreign_until_ms: Millis = 0
+        # Scope of the renewal under way.
+        self._renewal: asyncio.Timeout | None = None
         # Local time at which a restart became known before the new process was heard.
         self._unheard_restart_ms: Millis | None = None
         # Birth of the last restart that an entry showed.
@@ -235,15 +237,10 @@
             lease_until_ms = None if self._is_silent else self.lease_until_ms() or None
             self._lease_until_ms = max(self._lease_until_ms, lease_until_ms or 0)
             token = self._token
-            acknowledgement, self._acknowledgement = self._acknowledgement, None
-            reply = await self._agent.renew_leases(
-                self.entry,
-                token,
-                acknowledgement,
-                lease_until_ms,
-                wait_ms,
-                wait_ms + self._timeout_ms(),
-            )
+            reply = await self._renew(token, lease_until_ms, wait_ms)
+            if reply is None:
+                wait_ms = 0
+                continue
             if isinstance(reply, Err):
                 self._handle_renewal_error(reply.err_value, token)
                 wait_ms = 0
@@ -259,6 +256,35 @@
             if not is_stored:
                 await self._clock.sleep_ms(UNSTORED_PAUSE_MS)
 
+    async def _renew(
+        self, token: int, lease_until_ms: Millis | None, wait_ms: Millis
+    ) -> Result[LeaseReply, CommandResult] | None:
+        """Send a renewal; return None if a restart became known before its reply."""
+        acknowledgement, self._acknowledgement = self._acknowledgement, None
+        scope = asyncio.timeout(None)
+        self._renewal = scope
+        try:
+            async with scope:
+                return await self._agent.renew_leases(
+                    self.entry,
+                    token,
+                    acknowledgement,
+                    lease_until_ms,
+                    wait_ms,
+                    wait_ms + self._timeout_ms(),
+                )
+        except TimeoutError:
+            if not scope.expired():
+                raise
+            return None
+        finally:
+            self._renewal = None
+
+    def _cancel_renewal(self) -> None:
+        if self._renewal is not None:
+            self._renewal.reschedule(asyncio.get_running_loop().time())
+            self._renewal = None
+
     def _renewal_wait_ms(self) -> Millis:
         if self._proof.lease_left_ms() < self._times.lease_ms:
             return SHORT_RENEWAL_WAIT_MS
@@ -338,11 +364,14 @@
     def _record_restart(self) -> None:
         """Record that a new process has taken the place of the one last heard.
 
-        It gets no lease until its clock is known.
+        It gets no lease until its clock is known. The renewal under way is for the
+        former process, and the new one may carry it out late: it would forget ends that
+        nobody has seen. The next renewal has the raised token, after which it doesn't.
         """
         self._unheard_restart_ms = self._clock.now_ms()
         self.load.discard_report(self._clock.now_ms())
         self._expose()
+        self._cancel_renewal()
 
     def _expose(self) -> None:
         """Raise the token, as calls for the former process may still be on their way.
--- a/tests/test_run_end_evidence.py
+++ b/tests/test_run_end_evidence.py
@@ -442,6 +442,12 @@
 
     async def renew_leases(
         self, entry: WorkerEntry, token: int, *args: Any
+    ) -> Result[LeaseReply, CommandResult]:
+        # A call that its sender gives up arrives all the same.
+        return await asyncio.shield(self._renew_late(entry, token, *args))
+
+    async def _renew_late(
+        self, entry: WorkerEntry, token: int, *args: Any
     ) -> Result[LeaseReply, CommandResult]:
         await self._clock.sleep_ms(100)
         if token < self.lowest_token:
