Find the required connection among the idle ones of an address

Links to a worker and to one that had its address before share the idle connections of that address. The connector takes the one that was idle for longest; if it was another one, the renewal counted as disconnected and was repeated without its number, and the next one met the same order again.

The connector looks through all idle connections and gives the others back; a request that requires a connection opens no other. Unanswered starts no longer close the connection of the renewals, whose own replies are the better evidence; unanswered renewals are still passed on to the other calls.

--- a/hyssopweir/platform/http_agent.py
+++ b/hyssopweir/platform/http_agent.py
@@ -243,7 +243,7 @@
 
 
 def _result_from_error(error: ExchangeError) -> CommandResult:
-    if error.kind is ExchangeErrorKind.CLOSED:
+    if error.kind is ExchangeErrorKind.DISCONNECTED:
         return CommandResult.DISCONNECTED
     if error.kind is ExchangeErrorKind.NO_LISTENER:
         return CommandResult.NO_LISTENER
--- a/hyssopweir/platform/instance.py
+++ b/hyssopweir/platform/instance.py
@@ -77,7 +77,8 @@
         )
         silent = SilentAddresses()
         self._client = JsonHttpClient(silent)
-        self._renewals = JsonHttpClient(silent)
+        # A start without a reply says little about a connection that has replied since.
+        self._renewals = JsonHttpClient(SilentAddresses(silent))
         self._store = store = HttpRowStore(self._client, settings.store)
         self._queues = QueueTable()
         self._api = WorkflowApi(store, clock, self._log)
--- a/hyssopweir/platform_client.py
+++ b/hyssopweir/platform_client.py
@@ -36,6 +36,7 @@
     Connector,
     SilentAddresses,
     connection_choice,
+    refuse_other_connection,
 )
 from hyssopweir.table import Operation, Page, Put, Row, operation_to_dict
 
@@ -82,7 +83,7 @@
 
     NOT_CONNECTED = "no connection could be opened"
     NO_LISTENER = "no process listens at the address"
-    CLOSED = "the required connection is closed"
+    DISCONNECTED = "the required connection is closed"
     NO_ANSWER = "no complete reply"
     MALFORMED = "malformed HTTP reply"
     TOO_LARGE = "the reply is too large"
@@ -93,7 +94,7 @@
     {
         ExchangeErrorKind.NOT_CONNECTED,
         ExchangeErrorKind.NO_LISTENER,
-        ExchangeErrorKind.CLOSED,
+        ExchangeErrorKind.DISCONNECTED,
     }
 )
 
@@ -148,6 +149,7 @@
     """
     trace = aiohttp.TraceConfig()
     trace.on_connection_reuseconn.append(_record_reused)
+    trace.on_connection_create_start.append(refuse_other_connection)
     trace.on_connection_create_end.append(_record_created)
     trace.on_request_headers_sent.append(_record_sent)
     return aiohttp.ClientSession(
@@ -256,7 +258,7 @@
     if progress.sent_s is not None:
         return ExchangeErrorKind.NO_ANSWER
     if isinstance(exc, ConnectionClosedError):
-        return ExchangeErrorKind.CLOSED
+        return ExchangeErrorKind.DISCONNECTED
     cause = exc.os_error if isinstance(exc, aiohttp.ClientConnectorError) else exc
     if isinstance(cause, ConnectionRefusedError):
         return ExchangeErrorKind.NO_LISTENER
--- a/hyssopweir/silent_connections.py
+++ b/hyssopweir/silent_connections.py
@@ -4,7 +4,8 @@
 from contextvars import ContextVar
 from functools import partial
 from itertools import count
-from weakref import WeakKeyDictionary, WeakValueDictionary
+from typing import Any
+from weakref import WeakKeyDictionary
 
 import aiohttp
 from aiohttp.connector import Connection
@@ -18,9 +19,11 @@
     """Addresses that left requests unanswered, with the time of the latest of them.
 
     The connections to such an address whose last reply is older may all be silent.
+    What is recorded here is passed on to ``others``, but not the reverse.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, others: "SilentAddresses | None" = None) -> None:
+        self._others = others
         self._sent_s: dict[tuple[str, int], float] = {}
 
     def record(self, address: tuple[str, int], sent_s: float) -> None:
@@ -28,6 +31,8 @@
         oldest_s = sent_s - IDLE_CONNECTION_S
         self._sent_s = {at: s for at, s in self._sent_s.items() if s > oldest_s}
         self._sent_s[address] = max(sent_s, self._sent_s.get(address, sent_s))
+        if self._others is not None:
+            self._others.record(address, sent_s)
 
     def may_be_silent(self, address: tuple[str, int], replied_s: float) -> bool:
         """Return whether a connection whose last reply came at a time may be silent."""
@@ -52,6 +57,13 @@
 )
 
 
+async def refuse_other_connection(*_: Any) -> None:
+    """Trace callback that opens no connection for a request that requires one."""
+    choice = connection_choice.get()
+    if choice is not None and choice.required is not None:
+        raise ConnectionClosedError
+
+
 class Connector(aiohttp.TCPConnector):
     """Connector that does not reuse connections that may have gone silent.
 
@@ -59,7 +71,8 @@
     open. It would cost each of the next calls its timeout.
 
     Connections are numbered. A request that requires one of them gets no other, which
-    may lead to the next process at the address.
+    may lead to the next process at the address; ``refuse_other_connection`` has to be
+    among the traces.
     """
 
     def __init__(self, connections: int, silent: SilentAddresses) -> None:
@@ -71,9 +84,6 @@
         )
         self._next_number = count(1)
         self._numbers: WeakKeyDictionary[asyncio.Transport, int] = WeakKeyDictionary()
-        self._by_number: WeakValueDictionary[int, asyncio.Transport] = (
-            WeakValueDictionary()
-        )
 
     async def connect(
         self,
@@ -83,34 +93,30 @@
     ) -> Connection:
         """Return a connection that has not gone silent as far as is known.
 
-        Raise ``ConnectionClosedError`` if the request requires one that is closed.
+        Raise ``ConnectionClosedError`` if the request requires one that isn't idle.
         """
         choice = connection_choice.get()
-        if choice is not None and not self._is_open(choice.required):
-            raise ConnectionClosedError
-        conn = await self._connect(req, traces, timeout)
-        if choice is None:
-            return conn
-        choice.used = self._number(conn.transport)
-        if choice.required not in (None, choice.used):
-            conn.release()
-            raise ConnectionClosedError
-        return conn
-
-    def _is_open(self, number: int | None) -> bool:
-        if number is None:
-            return True
-        transport = self._by_number.get(number)
-        return transport is not None and not transport.is_closing()
+        # Those of another client of the same address, such as a former worker's.
+        others: list[Connection] = []
+        try:
+            while True:
+                conn = await self._connect(req, traces, timeout)
+                if choice is None:
+                    return conn
+                choice.used = self._number(conn.transport)
+                if choice.required in (None, choice.used):
+                    return conn
+                others.append(conn)
+        finally:
+            for conn in others:
+                conn.release()
 
     def _number(self, transport: asyncio.Transport | None) -> int:
         """Return the number of a connection, 0 if it is closed."""
         if transport is None:
             return 0
         if transport not in self._numbers:
-            number = next(self._next_number)
-            self._numbers[transport] = number
-            self._by_number[number] = transport
+            self._numbers[transport] = next(self._next_number)
         return self._numbers[transport]
 
     async def _connect(
--- a/tests/test_acknowledgements.py
+++ b/tests/test_acknowledgements.py
@@ -53,6 +53,12 @@
             self.entry, 7, acknowledgement, None, 0, TIMEOUT_MS
         )
 
+    async def renew_former(self, worker_id: str) -> None:
+        """Send a renewal for a worker that had the address before."""
+        entry = self.entry._replace(worker_id=worker_id)
+        reply = await self.agent.renew_leases(entry, 7, None, None, 0, TIMEOUT_MS)
+        assert reply == Err(CommandResult.OTHER_LIFE)
+
     async def list_ends(self) -> LeaseReply:
         reply = (await self.renew()).unwrap()
         assert [end.how for end in reply.ended] == [RunOutcome.DONE]
@@ -92,6 +98,25 @@
     asyncio.run(main())
 
 
+def test_renewals_of_a_former_worker_at_the_address_take_no_connection() -> None:
+    """Guards against ends that are never acknowledged beside another connection."""
+
+    async def main() -> None:
+        async with running_owner() as (cluster, owner):
+            await owner.start_task()
+            listed = await owner.list_ends()
+            await asyncio.gather(
+                *(owner.renew_former(f"i-{number}") for number in range(2, 5))
+            )
+            for _ in range(5):
+                acknowledgement = Acknowledgement(1, listed.connection)
+                reply = (await owner.renew(acknowledgement)).unwrap()
+                assert reply.connection == listed.connection
+                await owner.renew_former("i-2")
+
+    asyncio.run(main())
+
+
 def test_process_at_the_same_address_gets_no_number_of_the_former_one() -> None:
     """Guards against ends that a restarted worker forgets before anyone has seen them.
 
