Keep the time of the last reply of a connection that was passed over

The connector took the release of each connection for a complete reply. One that it only passed over in its search for the required one then counted as heard, and was reused although it may have gone silent. The reply is recorded for the chosen connection only.

Measured: the new test in test_silent_connections failed before and passes.

--- a/hyssopweir/silent_connections.py
+++ b/hyssopweir/silent_connections.py
@@ -91,10 +91,22 @@
         traces: list[Trace],
         timeout: aiohttp.ClientTimeout,
     ) -> Connection:
-        """Return a connection that has not gone silent as far as is known.
+        """Return a connection on which a complete reply counts as a sign of life.
 
         Raise ``ConnectionClosedError`` if the request requires one that isn't idle.
         """
+        conn = await self._choose(req, traces, timeout)
+        if conn.transport is not None:
+            conn.add_callback(partial(self._record_reply, conn.transport))
+        return conn
+
+    async def _choose(
+        self,
+        req: aiohttp.ClientRequest,
+        traces: list[Trace],
+        timeout: aiohttp.ClientTimeout,
+    ) -> Connection:
+        """Return the connection that the request requires, or any one."""
         choice = connection_choice.get()
         # Those of another client of the same address, such as a former worker's.
         others: list[Connection] = []
@@ -125,15 +137,14 @@
         traces: list[Trace],
         timeout: aiohttp.ClientTimeout,
     ) -> Connection:
+        """Return a connection that has not gone silent as far as is known."""
         address = (req.url.raw_host or "", req.url.port or 0)
         while True:
             conn = await super().connect(req, traces, timeout)
-            transport = conn.transport
-            if transport is None:
+            if conn.transport is None:
                 return conn
-            replied_s = self._replied_s.get(transport)
+            replied_s = self._replied_s.get(conn.transport)
             if replied_s is None or not self.silent.may_be_silent(address, replied_s):
-                conn.add_callback(partial(self._record_reply, transport))
                 return conn
             conn.close()
 
--- a/tests/test_silent_connections.py
+++ b/tests/test_silent_connections.py
@@ -172,3 +172,28 @@
             await client.close()
 
     asyncio.run(main())
+
+
+def test_connection_that_was_passed_over_counts_as_unheard() -> None:
+    """Guards against a silent connection that is kept as others were looked for."""
+
+    async def main() -> None:
+        async with running_proxy() as proxy:
+            client, address = JsonHttpClient(), (HOST, proxy.port)
+
+            async def call(path: str = "/hold", connection: int | None = None) -> Any:
+                return await client.request(
+                    "GET", address, path, TIMEOUT_MS, connection=connection
+                )
+
+            replies = await asyncio.gather(*(call() for _ in range(3)))
+            _, passed_over, required = (reply.unwrap().connection for reply in replies)
+            unanswered = asyncio.create_task(call("/silent"))
+            await asyncio.sleep(REPLY_S)
+            reply = (await call(connection=required)).unwrap()
+            assert reply.connection == required != passed_over
+            assert (await unanswered).is_err()
+            assert (await call()).unwrap().connection == required
+            await client.close()
+
+    asyncio.run(main())
