Log how late the timers of a process fire, and unanswered renewals

Cause: nothing told a worker that is silent from an owner that is short of processor time and reads its replies late. TASK_LAPSED gave the age of the last reply, which is the same for both.

Change: event 108, PROCESS_DELAYED, at most once a second. WORKER_SILENT, WORKER_LAPSED and TASK_LAPSED say how many renewals had no reply since the last one, and for how long this process ran no timers meanwhile.

--- a/hyssopweir/agent_link.py
+++ b/hyssopweir/agent_link.py
@@ -20,6 +20,7 @@
 from hyssopweir.events import Event, EventLog
 from hyssopweir.fencing import FencingTokens
 from hyssopweir.ownership_proof import PROVEN_LEASE_MS, OwnershipProof
+from hyssopweir.process_delays import ProcessDelays
 from hyssopweir.task_state import Run, RunRef
 from hyssopweir.worker_load import WorkerLoad
 
@@ -129,7 +130,9 @@
         on_lapsed: Callable[["AgentLink"], None],
         may_be_extended: Callable[[Millis], bool],
         evacuations: Evacuations | None = None,
+        delays: ProcessDelays | None = None,
     ) -> None:
+        self._delays = delays or ProcessDelays(clock, log)
         self._evacuations = evacuations or Evacuations(clock, log)
         self.load = WorkerLoad(entry, self._evacuations.known_since_ms)
         self._tokens = tokens
@@ -161,6 +164,8 @@
         self._acknowledgement: Acknowledgement | None = None
         self._end_numbers = EndNumbers(entry.worker_id, log)
         self._is_silent = False
+        # Renewals without a reply since the last one with a reply.
+        self._unanswered = 0
         # Results of the calls since the worker became silent; each is logged once.
         self._silent_results: set[CommandResult] = set()
         self._opened_ms = clock.now_ms()
@@ -215,15 +220,19 @@
 
         ``heard_ms`` is the age of its last reply and ``clock_ms`` the worker's clock in
         it, both -1 without one; ``lease_left_ms`` is the time until its leases have
-        certainly expired.
+        certainly expired. Since that reply, ``unanswered`` renewals had none, and this
+        process ran no timers for ``delayed_ms``.
         """
         reading = self._clock_reading
         heard_ms = -1 if reading is None else self._clock.now_ms() - reading.local_ms
+        since_ms = self._opened_ms if reading is None else reading.local_ms
         return {
             "born_ms": self.born_ms,
             "clock_ms": -1 if reading is None else reading.worker_ms,
             "heard_ms": heard_ms,
             "lease_left_ms": self._lapses_in_ms(),
+            "unanswered": self._unanswered,
+            "delayed_ms": self._delays.total_ms(since_ms),
         }
 
     async def run(self) -> None:
@@ -333,6 +342,7 @@
         last_reading = self._clock_reading
         self._clock_reading = ClockReading(lease_reply.clock_ms, now_ms)
         self._has_lapsed = False
+        self._unanswered = 0
         if self._is_silent:
             self._is_silent = False
             self._silent_results.clear()
@@ -406,6 +416,7 @@
             self._end_numbers.record_disconnection()
             return
         self._is_silent = True
+        self._unanswered += 1
         if result not in self._silent_results:
             self._silent_results.add(result)
             self._log.emit(
--- a/hyssopweir/cell.py
+++ b/hyssopweir/cell.py
@@ -42,6 +42,7 @@
     encode_transfer,
 )
 from hyssopweir.ownership_proof import OwnershipProof
+from hyssopweir.process_delays import ProcessDelays
 from hyssopweir.row_commits import OwnershipLostError, RowCommits, commit_pause_ms
 from hyssopweir.row_store import (
     ABSENT,
@@ -130,7 +131,9 @@
         log: EventLog,
         count_owned: Callable[[], int],
         evacuations: Evacuations | None = None,
+        delays: ProcessDelays | None = None,
     ) -> None:
+        self._delays = delays or ProcessDelays(clock, log)
         self._count_owned = count_owned
         self._successor = ""
         self._claim = claim
@@ -585,6 +588,7 @@
             lambda link: self._reports.lapse_all(link, "lease has expired"),
             partial(self._may_be_extended, entry.worker_id),
             self.state.evacuations,
+            self._delays,
         )
         link.load.update_entry(entry, self._clock.now_ms())
         self.state.links[entry.worker_id] = link
--- a/hyssopweir/cell_host.py
+++ b/hyssopweir/cell_host.py
@@ -24,6 +24,7 @@
 from hyssopweir.clock import Clock, Millis
 from hyssopweir.evacuations import Evacuations
 from hyssopweir.events import Event, EventLog
+from hyssopweir.process_delays import ProcessDelays
 from hyssopweir.row_commits import OwnershipLostError
 from hyssopweir.row_store import RowStore
 
@@ -57,6 +58,7 @@
         clock: Clock,
         log: EventLog,
         evacuations: Evacuations | None = None,
+        delays: ProcessDelays | None = None,
     ) -> None:
         self._settings = settings
         self._store = store
@@ -65,6 +67,7 @@
         self._clock = clock
         self._log = log
         self._evacuations = evacuations
+        self._delays = delays
         self._is_released = False
         self._ownerships: dict[str, CellOwnership] = {}
         self._vacant_since_ms: dict[str, Millis] = {}
@@ -259,6 +262,7 @@
             self._log,
             lambda: len(self.owned),
             self._evacuations,
+            self._delays,
         )
 
     async def _run_cell(self, cell: str, owned: Cell) -> None:
--- a/hyssopweir/platform/instance.py
+++ b/hyssopweir/platform/instance.py
@@ -41,6 +41,7 @@
     load_platform_settings,
     settings_path,
 )
+from hyssopweir.process_delays import ProcessDelays
 from hyssopweir.queue_policies import QueueTable
 from hyssopweir.silent_connections import SilentAddresses
 from hyssopweir.text_metrics import CONTENT_TYPE, TextMetrics
@@ -86,6 +87,7 @@
         evacuations = Evacuations(
             clock, self._log, EVACUATION_PREFIX, settings.evacuation_limit_ms
         )
+        self._delays = ProcessDelays(clock, self._log)
         self._host = CellHost(
             HostSettings(
                 settings.instance,
@@ -105,6 +107,7 @@
             clock,
             self._log,
             evacuations,
+            self._delays,
         )
         self._configuration_watch = ConfigurationWatch(
             OPERATOR_TABLE,
@@ -134,6 +137,7 @@
                 await serve_http(handler, address, self._budget, is_operator)
             )
         self.add_future(self._budget.run())
+        self.add_future(self._delays.run())
         self.add_future(self._configuration_watch.run())
         self.add_future(self._run_host())
         self._log.emit(
