Keep the lines on lapsed runs when the log exceeds its limit

Cause: above 300 lines a second a process drops lines that are no warning, which happens just when a worker is given up and its tasks start elsewhere.

Change: PROCESS_DELAYED, WORKER_RESTARTED, WORKER_LAPSED and TASK_LAPSED are warnings, which are exempt from the limit.

Result: tests/test_docs.py and tests/test_process_delays.py pass.

--- a/hyssopweir/events.py
+++ b/hyssopweir/events.py
@@ -165,12 +165,16 @@
 WARNINGS = frozenset(
     {
         Event.BACKGROUND_TASK_FAILED,
+        Event.PROCESS_DELAYED,
         Event.SESSION_EXPIRED,
         Event.SESSION_LOST,
         Event.PEER_REJECTED,
         Event.SHARD_LOST,
         Event.WORKER_UNREACHABLE,
         Event.WORKER_REPLY_INVALID,
+        Event.WORKER_RESTARTED,
+        Event.WORKER_LAPSED,
+        Event.TASK_LAPSED,
         Event.ENDS_MISSING,
         Event.STORE_DOWN,
         Event.STORE_CALL_FAILED,
