Let fake workers and owners be short of processor time

Cause: in the simulation a worker answers at once or not at all, so that nothing shows what a reply does that comes after its time-out.

Change, all of it off by default: a fake worker stands still while its clock goes on and carries out the kept calls when it goes on, before or after it notices a lapsed lease; its replies are late by a fixed delay, for renewals and commands apart, with lists as of the call or of the reply; it kills late and answers nothing meanwhile. An agent of an instance that stands still discards replies whose time-out has passed when it goes on.

--- a/tests/agent_fakes.py
+++ b/tests/agent_fakes.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable
 from functools import partial
 from random import Random
-from typing import NamedTuple
+from typing import NamedTuple, TypeVar
 
 from result import Err, Ok, Result
 
@@ -34,6 +34,10 @@
 REPLY_ENDS = 500
 # Reported CPU use of runs without a tail latency target, in thousandths.
 CPU_USE = 10.0
+# Time after which an end that a reply lists counts as taken note of.
+NOTE_MS: Millis = 100
+
+T = TypeVar("T")
 
 
 class LiveRun(NamedTuple):
@@ -68,6 +72,9 @@
         self.live: dict[TaskRef, set[str]] = {}
         self.breaches: list[str] = []
         self.starts = 0
+        # Also count an end as taken note of ``NOTE_MS`` after a reply has listed it.
+        self.counts_listed_ends = False
+        self.listed: set[TaskRef] = set()
 
     def duration_ms(self, ref: TaskRef) -> Millis:
         step = self.steps[ref.job][ref.step]
@@ -93,6 +100,19 @@
         # By percentage, the time after which the next pace command with it is executed;
         # its reply is lost.
         self.late_paces: dict[int, Millis] = {}
+        # A worker that is short of processor time: it stands still while its clock goes
+        # on and keeps the calls until it goes on.
+        self.is_standing = False
+        # Whether it notices a lapsed lease before it carries out the kept calls.
+        self.lapses_first = True
+        # How late its replies to renewals, and to other calls, are. The calls are
+        # carried out in time.
+        self.reply_delay_ms: Millis = 0
+        self.command_delay_ms: Millis = 0
+        # Whether late replies list the runs as of the reply, or as of the call.
+        self.lists_at_reply = True
+        # How late it kills runs without a lease; it answers nothing meanwhile.
+        self.kill_delay_ms: Millis = 0
         # Times at which runs have started, in all lives.
         self.start_times: list[Millis] = []
         self.lives = 0
@@ -120,11 +140,109 @@
         self.count = 0
         self.end_ms: dict[int, Millis] = {}
         self.lapsed_ms: Millis = 0
+        self._kept: list[Callable[[], None]] = []
+        self._is_catching_up = False
+
+    @property
+    def is_slow(self) -> bool:
+        """Return whether replies may be late."""
+        delay_ms = self.reply_delay_ms + self.command_delay_ms + self.kill_delay_ms
+        return delay_ms > 0 or self.stands()
+
+    def stands(self) -> bool:
+        """Return whether the process does nothing but let its runs finish."""
+        if self.is_standing or not self.kill_delay_ms or not self.running:
+            return self.is_standing
+        late_ms = self._clock.now_ms() - self.lease_ms
+        return not self._is_catching_up and 0 <= late_ms < self.kill_delay_ms
+
+    def deliver(self, call: Callable[[], T]) -> asyncio.Future[T]:
+        """Carry out a call, once the worker goes on if it stands still."""
+        future: asyncio.Future[T] = asyncio.get_running_loop().create_future()
+
+        def carry_out() -> None:
+            future.set_result(call())
+
+        if self.stands():
+            self._kept.append(carry_out)
+        else:
+            carry_out()
+        return future
+
+    async def answer(self, call: Callable[[], T]) -> T:
+        """Carry out a call and return its result when the reply is sent."""
+        result = await self.deliver(call)
+        await self._clock.sleep_ms(self.command_delay_ms)
+        while self.stands():
+            await self._clock.sleep_ms(POLL_MS)
+        return result
+
+    async def hold(
+        self,
+        renew: Callable[[], LeaseReply | CommandResult],
+        wait_ms: Millis,
+        deadline_ms: Millis,
+    ) -> LeaseReply | CommandResult:
+        """Answer a renewal whose caller waits until ``deadline_ms``."""
+        limit_ms = self._clock.now_ms() + wait_ms
+        reply = await self.deliver(renew)
+        while isinstance(reply, LeaseReply) and self._clock.now_ms() < limit_ms:
+            if reply.ended:
+                break
+            await self._clock.sleep_ms(POLL_MS)
+            reply = await self.deliver(self.list_runs)
+        if isinstance(reply, LeaseReply) and not self.lists_at_reply:
+            self.record_listed(reply)
+        await self._clock.sleep_ms(self.reply_delay_ms)
+        while self.stands():
+            await self._clock.sleep_ms(POLL_MS)
+        if isinstance(reply, LeaseReply) and self.lists_at_reply:
+            if self.reply_delay_ms:
+                reply = await self.deliver(self.list_runs)
+            if self._clock.now_ms() < deadline_ms:
+                self.record_listed(reply)
+        return reply
+
+    def record_listed(self, reply: LeaseReply) -> None:
+        """Record the ends in a reply that is sent now."""
+        if not self._work.counts_listed_ends:
+            return
+        loop = asyncio.get_running_loop()
+        for end in reply.ended:
+            if end.how is RunOutcome.DONE:
+                end_ms = self.end_ms[end.number]
+                args = (end.ref.task, end_ms, self.lives)
+                loop.call_later(NOTE_MS / 1_000, self._note_listed, *args)
+
+    def _note_listed(self, task: TaskRef, end_ms: Millis, life: int) -> None:
+        is_lost = self.lives != life or end_ms < self.lapsed_ms
+        is_once = not self._work.steps[task.job][task.step].may_run_twice
+        if is_lost or not is_once or task in self._work.listed:
+            return
+        self._work.listed.add(task)
+        if self._work.started_ms[task] > end_ms:
+            self._work.breach(f"{task} started after a listed successful end")
 
     def advance(self) -> None:
         """End all runs that have finished or lost their lease by now."""
+        if self._is_catching_up or self.stands():
+            self._end_runs(False)
+            return
+        if not self.lapses_first:
+            self._carry_out_kept()
+        self._end_runs(True)
+        self._carry_out_kept()
+
+    def _carry_out_kept(self) -> None:
+        kept, self._kept = self._kept, []
+        self._is_catching_up = not self.lapses_first
+        for carry_out in kept:
+            carry_out()
+        self._is_catching_up = False
+
+    def _end_runs(self, notices_lapse: bool) -> None:
         now_ms = self._clock.now_ms()
-        if self.lease_ms <= now_ms:
+        if notices_lapse and self.lease_ms <= now_ms:
             self.lapsed_ms = now_ms
         for run in list(self.running.values()):
             end_ms = run.since_ms + run.duration_ms
@@ -133,7 +251,7 @@
                     self._work.random.random() < self._work.fail_share
                 )
                 self._end(run, RunOutcome.FAILED if failed else RunOutcome.DONE)
-            elif self.lease_ms <= now_ms:
+            elif notices_lapse and self.lease_ms <= now_ms:
                 self._end(run, RunOutcome.LAPSED)
 
     def _end(self, run: LiveRun, how: RunOutcome) -> None:
@@ -176,6 +294,11 @@
         self._check_room()
         return CommandResult.ACCEPTED
 
+    def answer_start(self, command: StartCommand) -> StartReply:
+        """Carry out a start; the reply has the worker's clock of that moment."""
+        result = self.start(command)
+        return StartReply(result, self._clock.now_ms() - self.clock_start_ms)
+
     def _local_time(self, lease_until_ms: Millis) -> Millis:
         """Convert the expiry of a lease from the worker's clock, and shorten it."""
         longest_ms = self._clock.now_ms() + LONGEST_LEASE_MS
@@ -189,6 +312,8 @@
             self._work.breach(f"{ref} starts while another run is live")
         if ref.task in self._work.noted:
             self._work.breach(f"{ref} starts after a successful end was acknowledged")
+        if ref.task in self._work.listed:
+            self._work.breach(f"{ref} starts after a successful end was listed")
         self._work.started_ms[ref.task] = self._clock.now_ms()
         for earlier in step.after:
             for number in range(self._work.steps[ref.task.job][earlier].tasks):
@@ -236,6 +361,11 @@
             if end.number <= acknowledged and end.how is RunOutcome.DONE:
                 self._check_acknowledged(end.ref.task, self.end_ms[end.number])
         self.ended = [end for end in self.ended if end.number > acknowledged]
+        return self.list_runs()
+
+    def list_runs(self) -> LeaseReply:
+        """Return the runs in progress and the ends that were not acknowledged."""
+        self.advance()
         now_ms = self._clock.now_ms()
         running = [
             RunStatus(
@@ -281,6 +411,10 @@
         self._random = Random(seed)
         self.is_cut = False
         self.poll_ms = POLL_MS
+        # Workers answer while this instance stands still. A reply is lost if its
+        # time-out has passed when the instance goes on, as asyncio cancels a task whose
+        # result has arrived.
+        self.loses_late_replies = False
         # Workers that this instance alone can't reach.
         self.cut_workers: set[str] = set()
         # Workers whose process has ended, and what their machine replies.
@@ -327,21 +461,43 @@
             return CommandResult.UNKNOWN
         return answer.result
 
+    async def _call(
+        self, worker: FakeWorker, call: Callable[[], T], timeout_ms: Millis
+    ) -> T | CommandResult:
+        """Carry out a call; the reply is lost if it comes after the time-out."""
+        if not worker.is_slow and not self.loses_late_replies:
+            return call()
+        reply = asyncio.get_running_loop().create_task(worker.answer(call))
+        return await self._await_reply(reply, timeout_ms)
+
+    async def _await_reply(
+        self, reply: asyncio.Task[T], timeout_ms: Millis
+    ) -> T | CommandResult:
+        deadline_ms = self._clock.now_ms() + timeout_ms
+        await asyncio.wait([reply], timeout=timeout_ms / 1_000)
+        # Until the instance runs again, if it stands still.
+        await self._clock.sleep_ms(0)
+        if not reply.done() or self._clock.now_ms() >= deadline_ms:
+            return CommandResult.UNKNOWN
+        return reply.result()
+
     def _is_late(self, worker: FakeWorker) -> bool:
         return self._random.random() < worker.late_share
 
     async def start(
         self, worker: WorkerEntry, command: StartCommand, timeout_ms: Millis
     ) -> StartReply:
-        result = await self._start(worker, command, timeout_ms)
+        reply = await self._start(worker, command, timeout_ms)
+        if isinstance(reply, StartReply):
+            return reply
         fake = self._workers[worker.worker_id]
-        if result is CommandResult.UNKNOWN or self._refusal(worker.worker_id):
-            return StartReply(result)
-        return StartReply(result, self._clock.now_ms() - fake.clock_start_ms)
+        if reply is CommandResult.UNKNOWN or self._refusal(worker.worker_id):
+            return StartReply(reply)
+        return StartReply(reply, self._clock.now_ms() - fake.clock_start_ms)
 
     async def _start(
         self, worker: WorkerEntry, command: StartCommand, timeout_ms: Millis
-    ) -> CommandResult:
+    ) -> StartReply | CommandResult:
         if not await self._reach(worker, timeout_ms):
             return CommandResult.UNKNOWN
         refusal = self._refusal(worker.worker_id)
@@ -358,7 +514,7 @@
             asyncio.get_running_loop().call_later(delay_s, fake.start, command)
             await self._clock.sleep_ms(timeout_ms)
             return CommandResult.UNKNOWN
-        return fake.start(command)
+        return await self._call(fake, partial(fake.answer_start, command), timeout_ms)
 
     async def stop(
         self, worker: WorkerEntry, ref: RunRef, token: int, timeout_ms: Millis
@@ -378,7 +534,7 @@
             asyncio.get_running_loop().call_later(delay_s, fake.stop, ref, token)
             await self._clock.sleep_ms(timeout_ms)
             return CommandResult.UNKNOWN
-        return fake.stop(ref, token)
+        return await self._call(fake, partial(fake.stop, ref, token), timeout_ms)
 
     async def pace(
         self,
@@ -400,7 +556,8 @@
             loop.call_later(delay_s, fake.pace, ref, percent, token)
             await self._clock.sleep_ms(timeout_ms)
             return CommandResult.UNKNOWN
-        return fake.pace(ref, percent, token)
+        call = partial(fake.pace, ref, percent, token)
+        return await self._call(fake, call, timeout_ms)
 
     async def renew_leases(
         self,
@@ -422,20 +579,42 @@
         if refusal is not None:
             return Err(refusal)
         fake = self._workers[worker.worker_id]
-        limit_ms = self._clock.now_ms() + wait_ms
+        sent_ms = self._clock.now_ms()
+        limit_ms = sent_ms + wait_ms
         if acknowledged and fake.lives != life:
             return Err(CommandResult.UNKNOWN)
         life = fake.lives
-        reply = fake.renew_leases(token, acknowledged, lease_until_ms)
-        while self._clock.now_ms() < limit_ms:
+        renew = partial(fake.renew_leases, token, acknowledged, lease_until_ms)
+        reply: LeaseReply | CommandResult | None = None
+        while not fake.is_slow and not self.loses_late_replies:
+            reply = renew()
             if isinstance(reply, CommandResult) or reply.ended:
                 break
+            if self._clock.now_ms() >= limit_ms:
+                break
             await self._clock.sleep_ms(self.poll_ms)
             is_lost = worker.worker_id in self.cut_workers | self.gone_workers
             if fake.lives != life or is_lost:
                 # A restart of the worker closes the connection; a cut loses the reply.
                 return Err(CommandResult.UNKNOWN)
-            reply = fake.renew_leases(token, acknowledged, lease_until_ms)
+        else:
+            passed_ms = self._clock.now_ms() - sent_ms
+            left_ms = max(wait_ms - passed_ms, 0)
+            timeout_ms -= passed_ms
+            deadline_ms = self._clock.now_ms() + timeout_ms
+            hold = fake.hold(renew, left_ms, deadline_ms)
+            task = asyncio.get_running_loop().create_task(hold)
+            reply = await self._await_reply(task, timeout_ms)
+            if fake.lives != life or worker.worker_id in self.cut_workers:
+                return Err(CommandResult.UNKNOWN)
+            return self._lease_result(reply, life)
+        if isinstance(reply, LeaseReply):
+            fake.record_listed(reply)
+        return self._lease_result(reply, life)
+
+    def _lease_result(
+        self, reply: LeaseReply | CommandResult, life: int
+    ) -> Result[LeaseReply, CommandResult]:
         if isinstance(reply, CommandResult):
             return Err(reply)
         return Ok(reply._replace(connection=life))
