Return owners in the soak while their requests are held up

The users' record has two owners that stop and start again within 10 s. The kind `return` ends the owner, starts it again within 1.5 s, and does the same with its successor, while requests on the open connections to 40% of the workers are held up for 1 to 8 s; new connections work.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -1,6 +1,7 @@
 """Faults of a run: a seeded plan and their injection from outside."""
 
 import asyncio
+import contextlib
 import random
 import signal
 from collections.abc import Sequence
@@ -63,6 +64,12 @@
 SLOW = "slow"
 SLICES = "slices"
 SHORTAGES = frozenset({STARVATION, SLICES, SLOW})
+# An owner starts again within this time, while its calls are on the way for longer.
+RETURN_MS = (100, 1_500)
+HELD_MS = (1_000, 8_000)
+# Share of the workers to which the calls of the owner are held up.
+HELD_SHARE = 0.4
+RETURN_PAUSE_MS = 3_000
 # Share of the crashes after which the worker has a new id, and of the isolations in
 # which the instances don't reach the worker either.
 NEW_ID_SHARE = 0.4
@@ -137,6 +144,18 @@
     instance: int | None
 
 
+class OwnerReturn(NamedTuple):
+    """An owner starts again while its former calls to some workers are on the way.
+
+    Its successor does the same afterwards, so that the first one may claim again.
+    """
+
+    at_ms: Millis
+    duration_ms: Millis
+    held_ms: Millis
+    is_stopped: bool
+
+
 class WorkerCrash(NamedTuple):
     """A worker crashes and starts again."""
 
@@ -195,6 +214,7 @@
     | Pause
     | Restart
     | Slices
+    | OwnerReturn
     | WorkerCrash
     | Starvation
     | SlowReplies
@@ -222,10 +242,11 @@
     "evacuate": 1,
     STARVATION: 2,
     SLOW: 1,
+    "return": 1,
     SLICES: 1,
 }
 # The plan of a seed depends on the kinds; later ones are played by name only.
-LATER_KINDS = (STARVATION, SLOW, SLICES)
+LATER_KINDS = (STARVATION, SLOW, "return", SLICES)
 DEFAULT_KINDS = tuple(kind for kind in WEIGHTS if kind not in LATER_KINDS)
 
 
@@ -274,6 +295,9 @@
                 duration_ms = rng.uniform(*SLICES_MS)
                 instance = None if rng.random() < OWNER_SHARE else self._instance
                 return Slices(at_ms, duration_ms, instance)
+            case "return":
+                away_ms, held_ms = rng.uniform(*RETURN_MS), rng.uniform(*HELD_MS)
+                return OwnerReturn(at_ms, away_ms, held_ms, rng.random() < 0.5)
             case "starve":
                 duration_ms = rng.uniform(*STARVATION_MS)
                 keeps_replies = rng.random() < KEPT_REPLY_SHARE
@@ -430,14 +454,18 @@
         return
     injector.busy.add(instance.name)
     started_ms = injector.deployment.record.now_ms()
-    if fault.is_stopped:
+    await _restart(instance, fault.is_stopped, fault.duration_ms)
+    injector.busy.discard(instance.name)
+    injector.note("stop" if fault.is_stopped else "kill", started_ms, instance.name)
+
+
+async def _restart(instance: Instance, is_stopped: bool, away_ms: Millis) -> None:
+    if is_stopped:
         await instance.stop()
     else:
         instance.kill()
-    await asyncio.sleep(fault.duration_ms / 1_000)
+    await asyncio.sleep(away_ms / 1_000)
     instance.start()
-    injector.busy.discard(instance.name)
-    injector.note("stop" if fault.is_stopped else "kill", started_ms, instance.name)
 
 
 @inject.register
@@ -461,6 +489,23 @@
     injector.note(SLICES, started_ms, instance=instance.name)
 
 
+@inject.register
+async def _(fault: OwnerReturn, injector: Injector) -> None:
+    async with asyncio.TaskGroup() as group:
+        for _ in range(2):
+            owner = _last_sender(injector.deployment)
+            if owner is None or owner.name in injector.busy:
+                return
+            injector.busy.add(owner.name)
+            started_ms = injector.deployment.record.now_ms()
+            group.create_task(_hold_requests(injector, fault.held_ms))
+            await _restart(owner, fault.is_stopped, fault.duration_ms)
+            injector.busy.discard(owner.name)
+            injector.note("return", started_ms, instance=owner.name)
+            # A claim, and the first starts of the new owner.
+            await asyncio.sleep(RETURN_PAUSE_MS / 1_000)
+
+
 def _last_sender(deployment: Deployment) -> Instance | None:
     """Return the instance that a worker last began a run for."""
     senders = (
@@ -473,6 +518,20 @@
     return next(instances, None)
 
 
+async def _hold_requests(injector: Injector, held_ms: Millis) -> None:
+    started_ms = injector.deployment.record.now_ms()
+    sites = injector.deployment.sites
+    count = max(int(HELD_SHARE * len(sites)), 1)
+    with contextlib.ExitStack() as stack:
+        held = injector.rng.sample(sites, count)
+        for site in held:
+            stack.enter_context(site.proxy.requests_held())
+        workers = [site.worker.life.worker for site in held]
+        await asyncio.sleep(held_ms / 1_000)
+    for worker in workers:
+        injector.note("hold requests", started_ms, worker=worker)
+
+
 @inject.register
 async def _(fault: WorkerCrash, injector: Injector) -> None:
     site = injector.deployment.sites[fault.worker]
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -87,6 +87,20 @@
         for link in self._links.values():
             link.is_silent = True
 
+    @contextlib.contextmanager
+    def requests_held(self) -> Iterator[None]:
+        """Hold up the requests on the connections that are open now."""
+        held = [link for link in self._links.values() if link.released is None]
+        released = asyncio.Event()
+        for link in held:
+            link.released = released
+        try:
+            yield
+        finally:
+            for link in held:
+                link.released = None
+            released.set()
+
     @contextlib.contextmanager
     def misrouted(self, target: Address) -> Iterator[None]:
         """Forward to a wrong address; connections are reset at both changes."""
@@ -176,6 +190,8 @@
             await asyncio.sleep(delay_ms / 1_000)
         while self._is_cut(is_request):
             await self._changed.wait()
+        if is_request and link.released is not None:
+            await link.released.wait()
         if is_request and time.monotonic() - read_s > LATE_S:
             self.late_ports.add(link.local_port)
 
@@ -198,6 +214,8 @@
         self.target_writer = writer
         self.local_port = 0
         self.is_silent = False
+        # Set when its requests aren't held up any more.
+        self.released: asyncio.Event | None = None
 
     async def connect(self, target: Address) -> None:
         """Connect to the target."""
--- a/tests/test_soak_stand_ins.py
+++ b/tests/test_soak_stand_ins.py
@@ -368,6 +368,20 @@
     play(case)
 
 
+def test_request_on_an_open_connection_is_held_up_beside_a_new_one() -> None:
+    async def case(lab: Lab) -> None:
+        await lab.hold()
+        with lab.proxy.requests_held():
+            with pytest.raises(TimeoutError):
+                await lab.post("/hold", 0.4, deadlineMs=lab.clock_ms() + 4_000)
+            await lab.hold()
+            assert lab.worker.lease_until_ms == 0
+        await asyncio.sleep(SETTLE_S)
+        assert lab.worker.lease_until_ms > 0
+
+    play(case)
+
+
 def test_silenced_connection_stays_silent_and_a_new_one_works() -> None:
     async def case(lab: Lab) -> None:
         await lab.hold()
