--- a/soak/cases.py
+++ b/soak/cases.py
@@ -2,7 +2,7 @@
 
 from typing import NamedTuple
 
-from soak.faults import DEFAULT_KINDS
+from soak.faults import DEFAULT_KINDS, SLOW, STARVATION
 from soak.runs import RunPlan
 
 
@@ -23,6 +23,14 @@
     "a successor measured the duration of an adopted run from its own adoption,"
     " so that all other runs of the step were moved as lagging, again and again"
 )
+LATE_KILL = (
+    "the last lease was counted as over at its end, without a margin for a worker that"
+    " ends the runs late"
+)
+UNHEARD_END = (
+    "replies that came later than the timeout of a renewal were discarded with the ends"
+    " that they listed"
+)
 LATE_ORDER = "the proxy forgot that it had held up an order, once its sender was gone"
 
 CASES = (
@@ -37,4 +45,16 @@
     Case(
         RunPlan(17, "karribank-lw", load=0.5, gap_s=0.5, kinds=LATER_KINDS), ADOPTED_END
     ),
+    Case(
+        RunPlan(5920, "karribank-lw", load=0.6, gap_s=0.35, kinds=(STARVATION,)),
+        LATE_KILL,
+    ),
+    Case(
+        RunPlan(5951, "karribank-lw-long", load=1.3, gap_s=0.35, kinds=(STARVATION,)),
+        LATE_KILL,
+    ),
+    Case(
+        RunPlan(5960, "karribank-lw-long", gap_s=0.4, kinds=(SLOW,)),
+        f"{UNHEARD_END}; {LATE_KILL}",
+    ),
 )
