Close connections that carry data which nobody asked for

What callers saw: nothing yet; the tests of other causes found it. A reply too many on an idle connection counted as the reply to the next request. A 409 or 503 voided a start that its worker then read, and a list that is older than its request ends a run that was started in between, without a stop: two runs at once, the first of which ends done.

Cause: aiohttp checks of a kept connection only that it is connected.

Change: the connector closes connections with unread data.

--- a/hyssopweir/silent_connections.py
+++ b/hyssopweir/silent_connections.py
@@ -1,4 +1,4 @@
-"""Choice of the connection for a request: by number, and none that went silent."""
+"""Choice of the connection for a request: by number, and none that is out of order."""
 
 import asyncio
 from contextvars import ContextVar
@@ -143,6 +143,10 @@
             conn = await super().connect(req, traces, timeout)
             if conn.transport is None:
                 return conn
+            if conn.protocol is not None and conn.protocol.should_close:
+                # What arrived without a request would count as the next reply.
+                conn.close()
+                continue
             replied_s = self._replied_s.get(conn.transport)
             if replied_s is None or not self.silent.may_be_silent(address, replied_s):
                 return conn
