Read what has arrived before a timer that fires late ends a call

Cause: a timer that fires late measures this process. asyncio cancels a task also if its result has arrived meanwhile, so that a reply that lay in the socket was thrown away with the ends that it lists, and its worker counted as silent.

Change: an exchange is extended by the time for which its timer was late, at most once by its timeout. It may also go on for a while after its timeout, during which the address counts as silent; nothing uses that yet. Clock has such a wait for futures.

--- a/hyssopweir/clock.py
+++ b/hyssopweir/clock.py
@@ -2,12 +2,15 @@
 
 import asyncio
 import time
-from typing import NamedTuple
+from collections.abc import Collection
+from typing import Any, NamedTuple
 
 Millis = int
 
 SECOND_MS: Millis = 1_000
 MINUTE_MS: Millis = 60 * SECOND_MS
+# A timer that fires later than this shows that its own process stood still.
+LATE_TIMER_MS: Millis = 50
 
 
 class Clock:
@@ -29,6 +32,36 @@
         """Sleep for ``delay_ms``; a negative delay counts as zero."""
         await asyncio.sleep(max(delay_ms, 0) / SECOND_MS)
 
+    async def wait_first(
+        self, futs: Collection[asyncio.Future[Any]], timeout_ms: Millis
+    ) -> bool:
+        """Wait until one of ``futs`` is done; return False after ``timeout_ms``.
+
+        The wait is extended by the time for which this process stood still, at most
+        once more ``timeout_ms``: what arrived meanwhile is still to be read.
+        """
+        left_ms, spare_ms = timeout_ms, timeout_ms
+        while left_ms > 0:
+            due_ms = self.now_ms() + left_ms
+            await self._wait(futs, left_ms)
+            if any(fut.done() for fut in futs):
+                return True
+            left_ms = extension_ms(self.now_ms() - due_ms, spare_ms)
+            spare_ms -= left_ms
+        return False
+
+    async def _wait(
+        self, futs: Collection[asyncio.Future[Any]], timeout_ms: Millis
+    ) -> None:
+        await asyncio.wait(
+            futs, timeout=timeout_ms / SECOND_MS, return_when=asyncio.FIRST_COMPLETED
+        )
+
+
+def extension_ms(late_ms: Millis, spare_ms: Millis) -> Millis:
+    """Return by how much a time limit whose timer fired late is extended, 0 for not."""
+    return min(late_ms, spare_ms) if late_ms > LATE_TIMER_MS else 0
+
 
 class HybridTimestamp(NamedTuple):
     """Hybrid logical timestamp: wall-clock milliseconds, then a counter."""
--- a/hyssopweir/platform/json_http_client.py
+++ b/hyssopweir/platform/json_http_client.py
@@ -54,11 +54,12 @@
         headers: Mapping[str, str] | None = None,
         idle_timeout_ms: Millis | None = None,
         connection: int | None = None,
+        late_ms: Millis = 0,
     ) -> Result[Response, ExchangeError]:
         """Send a request and return the response, whatever its status.
 
-        ``idle_timeout_ms`` and ``connection`` have the meanings that they have in
-        ``exchange``.
+        ``idle_timeout_ms``, ``connection`` and ``late_ms`` have the meanings that they
+        have in ``exchange``.
         """
         # aiohttp can create a session only while the event loop runs.
         if self._session is None:
@@ -75,6 +76,7 @@
             headers=dict(JSON_HEADERS, **(headers or {})),
             idle_timeout_ms=idle_timeout_ms,
             connection=connection,
+            late_ms=late_ms,
         )
         if isinstance(result, Err):
             return result
--- a/hyssopweir/platform_client.py
+++ b/hyssopweir/platform_client.py
@@ -11,7 +11,7 @@
 from enum import Enum
 from functools import lru_cache
 from io import BytesIO
-from types import SimpleNamespace
+from types import SimpleNamespace, TracebackType
 from typing import Any, NamedTuple, TypeVar
 
 import aiohttp
@@ -20,7 +20,7 @@
 from result import Err, Ok, Result
 from yarl import URL
 
-from hyssopweir.clock import Millis
+from hyssopweir.clock import Millis, extension_ms
 from hyssopweir.codes import Code, Failure, not_run, unknown
 from hyssopweir.fleet import ListedWorker, Worker
 from hyssopweir.input_bounds import (
@@ -122,22 +122,73 @@
 class ExchangeLimit:
     """Time limit of an exchange that is extended when part of the reply arrives.
 
-    It never exceeds ``MAX_EXCHANGE_MS`` after the start.
+    It never exceeds ``MAX_EXCHANGE_MS`` after the start, but for the time for which
+    this process stood still: a reply that arrived meanwhile is still to be read. At
+    most once more ``timeout_ms`` is added for it. With ``late_ms``, ``on_late`` is
+    called at the end of the time, and the exchange may go on for that time.
     """
 
-    def __init__(self, timeout_ms: Millis, idle_timeout_ms: Millis | None) -> None:
-        started_s = asyncio.get_running_loop().time()
+    def __init__(
+        self,
+        timeout_ms: Millis,
+        idle_timeout_ms: Millis | None,
+        late_ms: Millis,
+        on_late: Callable[[], None],
+    ) -> None:
+        self._loop = asyncio.get_running_loop()
+        self._timeout_ms = timeout_ms
         self._idle_timeout_ms = idle_timeout_ms
-        self._latest_s = started_s + max(MAX_EXCHANGE_MS, timeout_ms) / 1_000
-        self.timeout = asyncio.timeout(timeout_ms / 1_000)
+        self._late_ms = late_ms
+        self._on_late = on_late
+        self._spare_ms = timeout_ms
+        self._started_s = self._loop.time()
+        self._latest_s = self._started_s + max(MAX_EXCHANGE_MS, timeout_ms) / 1_000
+        self._timeout = asyncio.timeout(None)
+        self._due_s = self._started_s
+        self._timer: asyncio.TimerHandle | None = None
+
+    async def __aenter__(self) -> "ExchangeLimit":
+        """Start the time limit."""
+        await self._timeout.__aenter__()
+        self._set_due(self._started_s + self._timeout_ms / 1_000)
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        exc: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        """End the time limit; raise ``TimeoutError`` if it was exceeded."""
+        if self._timer is not None:
+            self._timer.cancel()
+        await self._timeout.__aexit__(kind, exc, traceback)
+
+    def _set_due(self, due_s: float) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+        self._due_s = due_s
+        self._timer = self._loop.call_at(due_s, self._handle_due)
+
+    def _handle_due(self) -> None:
+        now_s = self._loop.time()
+        left_ms = extension_ms(int((now_s - self._due_s) * 1_000), self._spare_ms)
+        if left_ms:
+            self._spare_ms -= left_ms
+        elif self._late_ms:
+            self._on_late()
+            left_ms, self._late_ms = self._late_ms, 0
+        if left_ms:
+            self._set_due(now_s + left_ms / 1_000)
+        else:
+            self._timeout.reschedule(now_s)
 
     def extend(self) -> None:
         """Allow the idle time-out from now on, or nothing without an idle time-out."""
-        if self._idle_timeout_ms is None or self.timeout.expired():
+        if self._idle_timeout_ms is None or self._timeout.expired():
             return
-        now_s = asyncio.get_running_loop().time()
-        idle_limit_s = now_s + self._idle_timeout_ms / 1_000
-        self.timeout.reschedule(min(idle_limit_s, self._latest_s))
+        idle_limit_s = self._loop.time() + self._idle_timeout_ms / 1_000
+        self._set_due(min(idle_limit_s, self._latest_s))
 
 
 def new_session(
@@ -187,24 +238,32 @@
     headers: Mapping[str, str] | None = None,
     idle_timeout_ms: Millis | None = None,
     connection: int | None = None,
+    late_ms: Millis = 0,
 ) -> Result[HttpReply, ExchangeError]:
     """Send a request and read the complete reply of at most ``limit`` bytes.
 
     With ``idle_timeout_ms``, ``timeout_ms`` limits only the time until the reply
     begins, and ``idle_timeout_ms`` each wait for the next part of it. With
     ``connection``, the request is sent on the connection of that number or not at all.
+    A reply that is late by up to ``late_ms`` is still returned; meanwhile the address
+    counts as silent.
     """
     progress = ExchangeProgress()
     choice = ConnectionChoice(connection)
     token = connection_choice.set(choice)
-    time_limit = ExchangeLimit(timeout_ms, idle_timeout_ms)
+    time_limit = ExchangeLimit(
+        timeout_ms,
+        idle_timeout_ms,
+        late_ms,
+        lambda: _record_timeout(session, address, progress),
+    )
     try:
         url = _build_url(*address, path)
         if query is not None:
             url = url.with_query(query)
         is_small = body is not None and len(body) <= SMALL_BODY_BYTES
         async with (
-            time_limit.timeout,
+            time_limit,
             session.request(
                 method,
                 url,
