Bound a worker's clock by the delay of the replies that tell it

What callers saw: nothing by itself.

Cause: a reading of a worker's clock counted as of the moment at which its reply was processed, which may be a second later than it was made. The next reply then looked like that of another process. Leases that were granted by such a reading ended early.

Change: leases follow the reading that was least late, and a reply to a start may be as late as its call took.

--- a/hyssopweir/agent_link.py
+++ b/hyssopweir/agent_link.py
@@ -22,6 +22,7 @@
 from hyssopweir.ownership_proof import PROVEN_LEASE_MS, OwnershipProof
 from hyssopweir.process_delays import ProcessDelays
 from hyssopweir.task_state import Run, RunRef
+from hyssopweir.worker_clock import MIN_CLOCK_RATE, ClockReading, WorkerClock
 from hyssopweir.worker_load import WorkerLoad
 
 # Long enough for a new owner to adopt the runs. Runs survive a loss of contact for this
@@ -32,8 +33,6 @@
 LONGEST_LEASE_MS: Millis = 10_000
 # By how much a lease of a previous owner may exceed the own estimate of its end.
 PREVIOUS_MARGIN_MS: Millis = 500
-# A worker's clock may run 2% slow.
-MIN_CLOCK_RATE = 0.98
 # Added to the time after which a lease of another owner counts as expired.
 EXPIRY_MARGIN_MS: Millis = 200
 RENEWAL_WAIT_MS: Millis = 700
@@ -51,8 +50,6 @@
 # A worker may execute a command without a reply seconds later, after newer commands.
 # The protocol states no bound; no execution is expected after this time.
 MAX_COMMAND_DELAY_MS: Millis = 12_000
-# By how much the delay of replies may shift a reading of a worker's clock.
-CLOCK_TOLERANCE_MS: Millis = 1_000
 # Another process or none answers at the worker's address. A crash causes them, but so
 # do a proxy, a firewall and a full backlog: they stop new work, and end no run.
 ABSENCE_RESULTS = frozenset({CommandResult.NO_LISTENER, CommandResult.OTHER_LIFE})
@@ -95,13 +92,6 @@
     )
 
 
-class ClockReading(NamedTuple):
-    """Reading of the worker's clock with the local time of its arrival, in ms."""
-
-    worker_ms: Millis
-    local_ms: Millis
-
-
 LeaseReplyHandler = Callable[
     ["AgentLink", LeaseReply, Millis], "asyncio.Future[None] | None"
 ]
@@ -146,7 +136,7 @@
         self._times = times
         self._on_lapsed = on_lapsed
         self._may_be_extended = may_be_extended
-        self._clock_reading: ClockReading | None = None
+        self._worker_clock = WorkerClock()
         # Bound of the leases that this owner granted to the process that it last heard,
         # on the clock of that process.
         self._lease_until_ms: Millis = 0
@@ -169,6 +159,8 @@
         # Results of the calls since the worker became silent; each is logged once.
         self._silent_results: set[CommandResult] = set()
         self._opened_ms = clock.now_ms()
+        # When a reply was last processed, of whatever process of the worker.
+        self._heard_ms: Millis | None = None
         self._has_lapsed = False
         self.born_ms: Millis = 0
         # Births of incarnations that were heard or listed before the current one.
@@ -184,13 +176,12 @@
 
         The bound of former leases isn't one: it may be later than any that was granted.
         """
-        if self._clock_reading is None or self._unheard_restart_ms is not None:
+        if self._worker_clock.reading is None or self._unheard_restart_ms is not None:
             return 0
         lease_ms = min(self._times.lease_ms, self._proof.lease_left_ms(), longest_ms)
         if lease_ms <= 0:
             return 0
-        passed_ms = self._clock.now_ms() - self._clock_reading.local_ms
-        return self._clock_reading.worker_ms + passed_ms + lease_ms
+        return self._worker_clock.estimate_ms(self._clock.now_ms()) + lease_ms
 
     def has_lapsed(self) -> bool:
         """Return whether all leases have certainly expired on the worker's clock."""
@@ -198,7 +189,7 @@
 
     def _lapses_in_ms(self) -> Millis:
         """Return the time until all leases have certainly expired, negative after."""
-        reading = self._clock_reading
+        reading = self._worker_clock.reading
         if reading is None:
             former_ms, duration_ms = self._proof.former_ms, self._times.unknown_ms
             if former_ms is None:
@@ -223,7 +214,7 @@
         certainly expired. Since that reply, ``unanswered`` renewals had none, and this
         process ran no timers for ``delayed_ms``.
         """
-        reading = self._clock_reading
+        reading = self._worker_clock.reading
         heard_ms = -1 if reading is None else self._clock.now_ms() - reading.local_ms
         since_ms = self._opened_ms if reading is None else reading.local_ms
         return {
@@ -257,8 +248,10 @@
                 pause_ms = min(2 * pause_ms, MAX_RETRY_MS)
                 continue
             pause_ms = RETRY_MS
-            is_first = self._clock_reading is None
-            is_stored = await self._process_reply(reply.ok_value, sent_ms, token)
+            is_first = self._worker_clock.reading is None
+            is_stored = await self._process_reply(
+                reply.ok_value, sent_ms, wait_ms, token
+            )
             # The sooner the next call arrives, the fewer calls for a former process do.
             may_wait = is_stored and not is_first and not self._is_exposed
             wait_ms = self._renewal_wait_ms() if may_wait else 0
@@ -311,11 +304,11 @@
         return min(limit_ms, left_ms) if left_ms > 0 else limit_ms
 
     async def _process_reply(
-        self, lease_reply: LeaseReply, sent_ms: Millis, token: int
+        self, lease_reply: LeaseReply, sent_ms: Millis, wait_ms: Millis, token: int
     ) -> bool:
         """Process a lease reply; return whether all ended runs in it are stored."""
         now_ms = self._clock.now_ms()
-        is_first = self._clock_reading is None
+        is_first = self._worker_clock.reading is None
         is_new_process = lease_reply.born_ms != self.born_ms
         if is_new_process:
             if not is_first:
@@ -325,6 +318,7 @@
             self.former_births.discard(lease_reply.born_ms)
             self.born_ms = lease_reply.born_ms
             self._lease_until_ms = 0
+            self._worker_clock.restart()
         noticed_ms = self._unheard_restart_ms
         if noticed_ms is not None and (is_new_process or sent_ms > noticed_ms):
             self._unheard_restart_ms = None
@@ -339,8 +333,9 @@
             # The worker has seen the raised token, so that nothing is added any more.
             self._is_exposed = False
             self._foreign_until_ms = now_ms + self._times.longest_ms
-        last_reading = self._clock_reading
-        self._clock_reading = ClockReading(lease_reply.clock_ms, now_ms)
+        heard_ms, self._heard_ms = self._heard_ms, now_ms
+        delay_ms = max(now_ms - sent_ms - wait_ms, 0)
+        self._worker_clock.record(ClockReading(lease_reply.clock_ms, now_ms, delay_ms))
         self._has_lapsed = False
         self._unanswered = 0
         if self._is_silent:
@@ -351,7 +346,7 @@
                 worker=self.entry.worker_id,
                 born_ms=self.born_ms,
                 clock_ms=lease_reply.clock_ms,
-                silent_ms=now_ms - last_reading.local_ms if last_reading else -1,
+                silent_ms=-1 if heard_ms is None else now_ms - heard_ms,
             )
         ends_stored = self._on_lease_reply(self, lease_reply, sent_ms)
         if ends_stored is None:
@@ -460,18 +455,17 @@
 
         The new process may be out of reach before it gets a renewal.
         """
-        reading, now_ms = self._clock_reading, self._clock.now_ms()
+        reading, now_ms = self._worker_clock.reading, self._clock.now_ms()
         if reading is None or reading.local_ms >= sent_ms:
             return
-        expected_ms = reading.worker_ms + now_ms - reading.local_ms
-        is_expected = abs(clock_ms - expected_ms) <= CLOCK_TOLERANCE_MS
+        is_expected = self._worker_clock.may_show(clock_ms, sent_ms, now_ms)
         if is_expected or self._unheard_restart_ms is not None:
             return
         self._log.emit(
             Event.WORKER_RESTARTED,
             worker=self.entry.worker_id,
             clock_ms=clock_ms,
-            expected_ms=expected_ms,
+            expected_ms=self._worker_clock.estimate_ms(now_ms),
             source="start",
         )
         self._record_restart()
