Read late replies of workers, and let timeouts follow their delays

What callers saw: tasks that were done ran again, and work that went on nowhere.

Cause: each renewal was given up after 0.6 s, and what its reply listed was lost. A silent worker gets no lease, and a retry no more time: with replies that take 0.7 s a worker was never heard again, all its leases ended, and its work started elsewhere, again and again. A start whose answer took that long was stopped each time.

Change: a renewal that exceeds its timeout stays open for 2 s while the next one is sent; lists that a later one has overtaken are dropped. Timeouts are twice the delay that the replies of a worker take, from 0.6 to 2 s, for commands also by the answers that came too late. A worker counts as silent for placement no sooner than its renewal does.

Still red: starts are wasted until the delay of a worker is known.

--- a/hyssopweir/agent_link.py
+++ b/hyssopweir/agent_link.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 from typing import Any, NamedTuple
 
-from result import Err, Result
+from result import Err
 
 from hyssopweir.agents import (
     Acknowledgement,
@@ -12,6 +12,7 @@
     CommandResult,
     LeaseReply,
     StartCommand,
+    StartReply,
     WorkerEntry,
 )
 from hyssopweir.clock import Clock, Millis
@@ -21,9 +22,11 @@
 from hyssopweir.fencing import FencingTokens
 from hyssopweir.ownership_proof import PROVEN_LEASE_MS, OwnershipProof
 from hyssopweir.process_delays import ProcessDelays
+from hyssopweir.renewal_calls import Renewal, RenewalCalls
+from hyssopweir.reply_delays import MIN_TIMEOUT_MS, ReplyDelays
 from hyssopweir.task_state import Run, RunRef
 from hyssopweir.worker_clock import MIN_CLOCK_RATE, ClockReading, WorkerClock
-from hyssopweir.worker_load import WorkerLoad
+from hyssopweir.worker_load import REPORT_TIMEOUT_MS, WorkerLoad
 
 # Long enough for a new owner to adopt the runs. Runs survive a loss of contact for this
 # time, less the age of the last renewal and the time until the next one. If a worker is
@@ -38,8 +41,9 @@
 RENEWAL_WAIT_MS: Millis = 700
 # While no full lease can be granted: the next proof of ownership soon extends it.
 SHORT_RENEWAL_WAIT_MS: Millis = 200
-RENEWAL_TIMEOUT_MS: Millis = 600
-COMMAND_TIMEOUT_MS: Millis = 600
+# Timeouts while the replies of the worker are quick.
+RENEWAL_TIMEOUT_MS: Millis = MIN_TIMEOUT_MS
+COMMAND_TIMEOUT_MS: Millis = MIN_TIMEOUT_MS
 COMMIT_WAIT_MS: Millis = 300
 RETRY_MS: Millis = 100
 # Together with ``RENEWAL_TIMEOUT_MS``, the longest time until a worker that is back in
@@ -54,7 +58,7 @@
 # do a proxy, a firewall and a full backlog: they stop new work, and end no run.
 ABSENCE_RESULTS = frozenset({CommandResult.NO_LISTENER, CommandResult.OTHER_LIFE})
 # Timeout of a renewal shortly before the lease expires.
-MIN_TIMEOUT_MS: Millis = 100
+LAST_TIMEOUT_MS: Millis = 100
 
 
 class LeaseTimes(NamedTuple):
@@ -137,13 +141,16 @@
         self._on_lapsed = on_lapsed
         self._may_be_extended = may_be_extended
         self._worker_clock = WorkerClock()
+        self._renewal_delays = ReplyDelays()
+        self._command_delays = ReplyDelays()
+        self._calls = RenewalCalls(clock)
+        # Starts that have exceeded their timeout and may still be answered.
+        self._late_starts: set[asyncio.Task[StartReply]] = set()
         # Bound of the leases that this owner granted to the process that it last heard,
         # on the clock of that process.
         self._lease_until_ms: Millis = 0
         # Local time until which other calls may have extended its leases.
         self._foreign_until_ms: Millis = 0
-        # Scope of the renewal under way.
-        self._renewal: asyncio.Timeout | None = None
         # Local time at which a restart became known before the new process was heard.
         self._unheard_restart_ms: Millis | None = None
         # Birth of the last restart that an entry showed.
@@ -228,64 +235,64 @@
 
     async def run(self) -> None:
         """Renew the lease until cancelled."""
+        try:
+            await self._renew_leases()
+        finally:
+            self._calls.cancel()
+            for call in self._late_starts:
+                call.cancel()
+
+    async def _renew_leases(self) -> None:
         wait_ms, pause_ms = 0, RETRY_MS
         while True:
             await self._proof.wait_valid()
-            sent_ms = self._clock.now_ms()
-            # A request without a reply may still renew the lease. A silent worker gets
-            # no further renewal, or its lease would never be certain to expire.
-            lease_until_ms = None if self._is_silent else self.lease_until_ms() or None
-            self._lease_until_ms = max(self._lease_until_ms, lease_until_ms or 0)
-            token = self._token
-            reply = await self._renew(token, lease_until_ms, wait_ms)
-            if reply is None:
+            if self._calls.newest is None or self._has_lease_to_send():
+                self._send_renewal(wait_ms)
+            replied = await self._calls.next_reply()
+            if replied is None:
+                # A restart became known before the reply.
                 wait_ms = 0
                 continue
-            if isinstance(reply, Err):
-                self._handle_renewal_error(reply.err_value, token)
+            renewal, result = replied
+            if isinstance(result, Err):
+                self._handle_renewal_error(result.err_value, renewal)
                 wait_ms = 0
                 await self._clock.sleep_ms(self._before_expiry(pause_ms))
                 pause_ms = min(2 * pause_ms, MAX_RETRY_MS)
                 continue
             pause_ms = RETRY_MS
             is_first = self._worker_clock.reading is None
-            is_stored = await self._process_reply(
-                reply.ok_value, sent_ms, wait_ms, token
-            )
+            is_stored = await self._process_reply(result.ok_value, renewal)
             # The sooner the next call arrives, the fewer calls for a former process do.
             may_wait = is_stored and not is_first and not self._is_exposed
             wait_ms = self._renewal_wait_ms() if may_wait else 0
             if not is_stored:
                 await self._clock.sleep_ms(UNSTORED_PAUSE_MS)
 
-    async def _renew(
-        self, token: int, lease_until_ms: Millis | None, wait_ms: Millis
-    ) -> Result[LeaseReply, CommandResult] | None:
-        """Send a renewal; return None if a restart became known before its reply."""
+    def _has_lease_to_send(self) -> bool:
+        """Return whether the newest call, sent to a silent worker, renews no lease."""
+        newest = self._calls.newest
+        is_renewed = newest is None or newest.has_lease
+        return not is_renewed and not self._is_silent and self.lease_until_ms() > 0
+
+    def _send_renewal(self, wait_ms: Millis) -> None:
+        # A request without a reply may still renew the lease. A silent worker gets no
+        # further renewal, or its lease would never be certain to expire.
+        lease_until_ms = None if self._is_silent else self.lease_until_ms() or None
+        self._lease_until_ms = max(self._lease_until_ms, lease_until_ms or 0)
         acknowledgement, self._acknowledgement = self._acknowledgement, None
-        scope = asyncio.timeout(None)
-        self._renewal = scope
-        try:
-            async with scope:
-                return await self._agent.renew_leases(
-                    self.entry,
-                    token,
-                    acknowledgement,
-                    lease_until_ms,
-                    wait_ms,
-                    wait_ms + self._timeout_ms(),
-                )
-        except TimeoutError:
-            if not scope.expired():
-                raise
-            return None
-        finally:
-            self._renewal = None
-
-    def _cancel_renewal(self) -> None:
-        if self._renewal is not None:
-            self._renewal.reschedule(asyncio.get_running_loop().time())
-            self._renewal = None
+        timeout_ms = wait_ms + self._timeout_ms()
+        call = self._agent.renew_leases(
+            self.entry,
+            self._token,
+            acknowledgement,
+            lease_until_ms,
+            wait_ms,
+            timeout_ms,
+        )
+        now_ms, has_lease = self._clock.now_ms(), lease_until_ms is not None
+        renewal = Renewal(now_ms, self._token, wait_ms, has_lease)
+        self._calls.send(call, renewal, timeout_ms)
 
     def _renewal_wait_ms(self) -> Millis:
         if self._proof.lease_left_ms() < self._times.lease_ms:
@@ -294,20 +301,19 @@
 
     def _timeout_ms(self) -> Millis:
         """Return the timeout of a renewal, without its wait for an ended run."""
+        timeout_ms = self._renewal_delays.timeout_ms()
         if not self._is_silent:
-            return RENEWAL_TIMEOUT_MS
-        return max(self._before_expiry(RENEWAL_TIMEOUT_MS), MIN_TIMEOUT_MS)
+            return timeout_ms
+        return max(self._before_expiry(timeout_ms), LAST_TIMEOUT_MS)
 
     def _before_expiry(self, limit_ms: Millis) -> Millis:
         """Return a time that ends when the leases expire, if it would end later."""
         left_ms = self._lapses_in_ms()
         return min(limit_ms, left_ms) if left_ms > 0 else limit_ms
 
-    async def _process_reply(
-        self, lease_reply: LeaseReply, sent_ms: Millis, wait_ms: Millis, token: int
-    ) -> bool:
+    async def _process_reply(self, lease_reply: LeaseReply, renewal: Renewal) -> bool:
         """Process a lease reply; return whether all ended runs in it are stored."""
-        now_ms = self._clock.now_ms()
+        now_ms, sent_ms = self._clock.now_ms(), renewal.sent_ms
         is_first = self._worker_clock.reading is None
         is_new_process = lease_reply.born_ms != self.born_ms
         if is_new_process:
@@ -329,13 +335,14 @@
             self._foreign_until_ms = now_ms + lease_ms
         elif is_new_process:
             self._expose()
-        elif self._is_exposed and token == self._token:
+        elif self._is_exposed and renewal.token == self._token:
             # The worker has seen the raised token, so that nothing is added any more.
             self._is_exposed = False
             self._foreign_until_ms = now_ms + self._times.longest_ms
+        delay_ms = max(now_ms - sent_ms - renewal.wait_ms, 0)
         heard_ms, self._heard_ms = self._heard_ms, now_ms
-        delay_ms = max(now_ms - sent_ms - wait_ms, 0)
         self._worker_clock.record(ClockReading(lease_reply.clock_ms, now_ms, delay_ms))
+        self._record_delay(delay_ms)
         self._has_lapsed = False
         self._unanswered = 0
         if self._is_silent:
@@ -360,6 +367,12 @@
         self._acknowledgement = Acknowledgement(last, lease_reply.connection)
         return True
 
+    def _record_delay(self, delay_ms: Millis) -> None:
+        self._renewal_delays.record(delay_ms)
+        # The next report may take so long without a renewal that fails.
+        longest_ms = RENEWAL_WAIT_MS + self._renewal_delays.timeout_ms()
+        self.load.report_timeout_ms = max(REPORT_TIMEOUT_MS, longest_ms)
+
     def record_listed_restart(self, born_ms: Millis) -> None:
         """Record a restart that the entry of the worker shows, once for each birth."""
         if born_ms != self._listed_restart_ms:
@@ -376,7 +389,7 @@
         self._unheard_restart_ms = self._clock.now_ms()
         self.load.discard_report(self._clock.now_ms())
         self._expose()
-        self._cancel_renewal()
+        self._calls.cancel()
 
     def _expose(self) -> None:
         """Raise the token, as calls for the former process may still be on their way.
@@ -402,8 +415,8 @@
         self._on_fenced()
         return result
 
-    def _handle_renewal_error(self, result: CommandResult, token: int) -> None:
-        result = self._check_fenced(result, token)
+    def _handle_renewal_error(self, result: CommandResult, renewal: Renewal) -> None:
+        result = self._check_fenced(result, renewal.token)
         if result is CommandResult.FENCED:
             return
         if result is CommandResult.DISCONNECTED:
@@ -443,13 +456,40 @@
         run.record_start_sent(self._clock.now_ms())
         token = self._token
         command = StartCommand(run.ref, payload, lease_until_ms, token, saved)
-        reply = await self._agent.start(self.entry, command, COMMAND_TIMEOUT_MS)
+        reply = await self._send_start(command)
         run.settled_ms = self._clock.now_ms()
         # Another worker at the address has a clock of its own.
         if reply.clock_ms is not None and reply.result is not CommandResult.OTHER_LIFE:
             self._check_clock(reply.clock_ms, run.since_ms)
         return self._check_fenced(reply.result, token)
 
+    async def _send_start(self, command: StartCommand) -> StartReply:
+        """Send a start; a late reply only tells how long the next one may take."""
+        sent_ms, timeout_ms = self._clock.now_ms(), self._command_timeout_ms()
+        call = asyncio.get_running_loop().create_task(
+            self._agent.start(self.entry, command, timeout_ms)
+        )
+
+        def record_delay(call: asyncio.Task[StartReply]) -> None:
+            self._late_starts.discard(call)
+            is_answered = not call.cancelled() and call.exception() is None
+            if is_answered and call.result().result is not CommandResult.UNKNOWN:
+                self._command_delays.record(self._clock.now_ms() - sent_ms)
+
+        call.add_done_callback(record_delay)
+        try:
+            is_answered = await self._clock.wait_first([call], timeout_ms)
+        except asyncio.CancelledError:
+            call.cancel()
+            raise
+        if is_answered:
+            return call.result()
+        self._late_starts.add(call)
+        return StartReply(CommandResult.UNKNOWN)
+
+    def _command_timeout_ms(self) -> Millis:
+        return max(self._command_delays.timeout_ms(), self._renewal_delays.timeout_ms())
+
     def _check_clock(self, clock_ms: Millis, sent_ms: Millis) -> None:
         """Notice a restart by the clock in the reply to a start of that time.
 
@@ -474,12 +514,14 @@
         """Stop a run, or prevent it from starting later."""
         await self._proof.wait_valid()
         token = self._token
-        result = await self._agent.stop(self.entry, ref, token, COMMAND_TIMEOUT_MS)
+        timeout_ms = self._command_timeout_ms()
+        result = await self._agent.stop(self.entry, ref, token, timeout_ms)
         return self._check_fenced(result, token)
 
     async def pace(self, run: Run, percent: int) -> CommandResult:
         """Limit a run to a percentage of its full speed."""
         await self._proof.wait_valid()
+        timeout_ms = self._command_timeout_ms()
         return await self._agent.pace(
-            self.entry, run.ref, percent, self._token, COMMAND_TIMEOUT_MS
+            self.entry, run.ref, percent, self._token, timeout_ms
         )
--- a/hyssopweir/agents.py
+++ b/hyssopweir/agents.py
@@ -132,7 +132,7 @@
     async def start(
         self, worker: WorkerEntry, command: StartCommand, timeout_ms: Millis
     ) -> StartReply:
-        """Send a command that starts a run."""
+        """Start a run; the result of a late reply comes after ``timeout_ms``."""
         ...
 
     async def stop(
@@ -163,6 +163,7 @@
     ) -> Result[LeaseReply, CommandResult]:
         """Renew the lease of all runs and wait up to ``wait_ms`` for one to end.
 
-        With an acknowledgement, the call is sent on its connection or not at all.
+        With an acknowledgement, the call is sent on its connection or not at all. The
+        result may come after ``timeout_ms``, if the reply is late.
         """
         ...
--- a/hyssopweir/platform/http_agent.py
+++ b/hyssopweir/platform/http_agent.py
@@ -49,6 +49,8 @@
 # they are read at once. The number of reads is bounded in case replies stay that large.
 LARGE_REPLY_ROWS = 400
 MAX_READS_PER_REFRESH = 8
+# For how long after its timeout the reply to a renewal or a start is still read.
+LATE_REPLY_MS: Millis = 2_000
 
 # Upper bounds of a worker's capacity: 10,000 cores, 10 TB of memory.
 MAX_CPU = 10_000_000
@@ -137,7 +139,7 @@
             body["checkpointed"] = command.saved
         if command.ticket:
             body["ticket"] = command.ticket
-        result = await self._send(worker, "/run-start", body, timeout_ms)
+        result = await self._send(worker, "/run-start", body, timeout_ms, LATE_REPLY_MS)
         if isinstance(result, Err):
             return StartReply(_result_from_error(result.err_value))
         response = result.ok_value
@@ -194,6 +196,7 @@
             body,
             headers=_headers(worker),
             connection=connection,
+            late_ms=LATE_REPLY_MS,
         )
         if isinstance(result, Err):
             return Err(_result_from_error(result.err_value))
@@ -227,6 +230,7 @@
         path: str,
         body: dict[str, Any],
         timeout_ms: Millis,
+        late_ms: Millis = 0,
     ) -> Result[Response, ExchangeError]:
         return await self._client.request(
             "POST",
@@ -235,6 +239,7 @@
             timeout_ms,
             body,
             headers=_headers(worker),
+            late_ms=late_ms,
         )
 
 
--- a/hyssopweir/worker_load.py
+++ b/hyssopweir/worker_load.py
@@ -55,6 +55,8 @@
         # Number of runs from which on a cold worker gets a task only if no other can.
         self.most_cold_runs = 0
         self.last_report_ms: Millis = 0
+        # Longer while the replies of the worker are late.
+        self.report_timeout_ms = REPORT_TIMEOUT_MS
         self._failed_jobs: set[str] = set()
         self._ejected_until_ms: Millis = 0
         self._paused_until_ms: Millis = 0
@@ -119,7 +121,9 @@
 
     def discard_report(self, now_ms: Millis) -> None:
         """Place no tasks until the next report: its process may have ended."""
-        self.last_report_ms = min(self.last_report_ms, now_ms - REPORT_TIMEOUT_MS - 1)
+        self.last_report_ms = min(
+            self.last_report_ms, now_ms - self.report_timeout_ms - 1
+        )
         self.mark_changed()
 
     def mark_changed(self) -> None:
@@ -150,7 +154,7 @@
             return "leaving"
         if self.is_evacuated:
             return "evacuated"
-        if now_ms - self.last_report_ms > REPORT_TIMEOUT_MS:
+        if now_ms - self.last_report_ms > self.report_timeout_ms:
             return "silent"
         if now_ms < self._paused_until_ms:
             return "paused"
--- a/tests/cell_simulation.py
+++ b/tests/cell_simulation.py
@@ -1,7 +1,7 @@
 """Simulation of instances, workers and a store in memory and virtual time."""
 
 import asyncio
-from collections.abc import Mapping
+from collections.abc import Collection, Mapping
 from typing import Any
 
 from result import Ok, Result
@@ -11,6 +11,7 @@
 from hyssopweir.cell_heartbeats import CellHeartbeats
 from hyssopweir.cell_host import CellHost
 from hyssopweir.cell_layout import CellLayout, WorkerListing
+from hyssopweir.clock import Millis
 from hyssopweir.codes import Failure
 from hyssopweir.configuration_watch import ConfigurationWatch
 from hyssopweir.evacuations import Evacuations
@@ -94,6 +95,12 @@
         await super().sleep_ms(delay_ms)
         await self.wait_thawed()
 
+    async def _wait(
+        self, futs: Collection[asyncio.Future[Any]], timeout_ms: Millis
+    ) -> None:
+        await super()._wait(futs, timeout_ms)
+        await self.wait_thawed()
+
     async def wait_thawed(self) -> None:
         while self.is_frozen:
             await super().sleep_ms(1)
--- a/tests/test_worker_lives.py
+++ b/tests/test_worker_lives.py
@@ -208,6 +208,8 @@
         step = build_step(8, estimated_ms=100)
         assert await simulation.submit(build_workflow("j1", step))
         assert await simulation.until("j1", WorkflowState.COMPLETED, 10_000)
+        # The start exceeds its timeout, so that its task may be done before the reply.
+        await simulation.sleep_ms(HEARD_MS)
         assert results == [CommandResult.FENCED]
         assert owner.host.owned["c0"].state.epoch == epoch
         assert simulation.work.breaches == []
