Count a lease as over only when its worker was asked after the end

What callers saw: two runs of a task at once.

Cause: an owner counted the leases of a worker that it had heard as over 0 to 82 ms after their end on the worker's clock, and started its tasks elsewhere within 3 ms. A worker ends what has lapsed with a timer of its own, which fires late on a machine that is short of processor time. A former owner's leases already had a margin of 200 ms.

Change: the margin holds for each lease, and the runs of a worker count as over only when a renewal that was sent after that time has failed. A refused connection fails it at once, a worker that is cut off costs 0.6 s.

Still red: kills that are 2 s late, and a worker that stands for a second beyond its lease.

--- a/hyssopweir/agent_link.py
+++ b/hyssopweir/agent_link.py
@@ -36,7 +36,8 @@
 LONGEST_LEASE_MS: Millis = 10_000
 # By how much a lease of a previous owner may exceed the own estimate of its end.
 PREVIOUS_MARGIN_MS: Millis = 500
-# Added to the time after which a lease of another owner counts as expired.
+# Added to the time after which a lease counts as expired: a worker ends what has lapsed
+# with a timer of its own, which may fire late.
 EXPIRY_MARGIN_MS: Millis = 200
 RENEWAL_WAIT_MS: Millis = 700
 # While no full lease can be granted: the next proof of ownership soon extends it.
@@ -204,7 +205,8 @@
             since_ms = max(self._opened_ms, former_ms)
         else:
             lease_ms = self._lease_until_ms - reading.worker_ms
-            since_ms, duration_ms = reading.local_ms, int(lease_ms / MIN_CLOCK_RATE)
+            duration_ms = int(lease_ms / MIN_CLOCK_RATE) + EXPIRY_MARGIN_MS
+            since_ms = reading.local_ms
         until_ms = max(since_ms + duration_ms + 1, self._foreign_until_ms)
         return until_ms - self._clock.now_ms()
 
@@ -290,8 +292,9 @@
             wait_ms,
             timeout_ms,
         )
-        now_ms, has_lease = self._clock.now_ms(), lease_until_ms is not None
-        renewal = Renewal(now_ms, self._token, wait_ms, has_lease)
+        now_ms = self._clock.now_ms()
+        has_lease = lease_until_ms is not None
+        renewal = Renewal(now_ms, self._token, wait_ms, has_lease, self.has_lapsed())
         self._calls.send(call, renewal, timeout_ms)
 
     def _renewal_wait_ms(self) -> Millis:
@@ -436,7 +439,9 @@
             )
         if result in ABSENCE_RESULTS:
             self.load.discard_report(self._clock.now_ms())
-        if self.has_lapsed() and not self._has_lapsed:
+        # Asked after the expiry, the worker would still have listed the ends.
+        was_asked = renewal.is_after_expiry or self._worker_clock.reading is None
+        if was_asked and self.has_lapsed() and not self._has_lapsed:
             self._has_lapsed = True
             self._on_lapsed(self)
 
--- a/hyssopweir/renewal_calls.py
+++ b/hyssopweir/renewal_calls.py
@@ -13,12 +13,16 @@
 
 
 class Renewal(NamedTuple):
-    """Request of a renewal; without ``has_lease`` it only asks for the runs."""
+    """Request of a renewal; with ``is_after_expiry``, all leases had expired then.
+
+    Without ``has_lease`` it only asks for the runs.
+    """
 
     sent_ms: Millis
     token: int
     wait_ms: Millis
     has_lease: bool
+    is_after_expiry: bool
 
 
 class RenewalCalls:
--- a/tests/test_renewal_calls.py
+++ b/tests/test_renewal_calls.py
@@ -27,7 +27,7 @@
         self.calls = RenewalCalls(clock)
 
     def send(self, delay_ms: Millis, result: RenewalResult) -> None:
-        renewal = Renewal(self.clock.now_ms(), 1, 0, True)
+        renewal = Renewal(self.clock.now_ms(), 1, 0, True, False)
         self.calls.send(self._call(delay_ms, result), renewal, TIMEOUT_MS)
 
     async def _call(self, delay_ms: Millis, result: RenewalResult) -> RenewalResult:
