Send no start without a lease

What callers saw: nothing; the review of what ends a run found it by reading.

Cause: while no lease can be granted, after a noticed restart or 6 s without a proof of ownership, a start was sent with the time 0. PROTOCOL.md says that fields of value 0 are omitted, and not which lease a start without one gets. If it is the longest one, the owner counts it as over too early.

Change: such a start isn't sent, and counts as not sent.

Result: no test shows the fault; the tests of run ends and worker lives pass as before.

--- a/hyssopweir/agent_link.py
+++ b/hyssopweir/agent_link.py
@@ -457,6 +457,9 @@
         limit of an evacuation that isn't known yet; a renewal extends it.
         """
         lease_until_ms = self.lease_until_ms(self._evacuations.start_left_ms())
+        if not lease_until_ms:
+            # Without a time in it, the worker would choose the lease.
+            return CommandResult.NOT_SENT
         self._lease_until_ms = max(self._lease_until_ms, lease_until_ms)
         run.record_start_sent(self._clock.now_ms())
         token = self._token
