Give up a call without a connection at its timeout

Cause, by the review: a start went on connecting for 2 s after its timeout and was then sent, although its caller had given it up, and its task waited 5.1 s for the end of a lease that it never had.

Change: only a request that was sent may be answered late. A caller waits 0.1 s longer than the timeout for the word that nothing was sent.

--- a/hyssopweir/agent_link.py
+++ b/hyssopweir/agent_link.py
@@ -58,6 +58,8 @@
 # Another process or none answers at the worker's address. A crash causes them, but so
 # do a proxy, a firewall and a full backlog: they stop new work, and end no run.
 ABSENCE_RESULTS = frozenset({CommandResult.NO_LISTENER, CommandResult.OTHER_LIFE})
+# Within this time after its timeout, a start that wasn't sent tells so.
+RESULT_GRACE_MS: Millis = 100
 # Timeout of a renewal shortly before the lease expires.
 LAST_TIMEOUT_MS: Millis = 100
 
@@ -486,7 +488,9 @@
 
         call.add_done_callback(record_delay)
         try:
-            is_answered = await self._clock.wait_first([call], timeout_ms)
+            is_answered = await self._clock.wait_first(
+                [call], timeout_ms + RESULT_GRACE_MS
+            )
         except asyncio.CancelledError:
             call.cancel()
             raise
--- a/hyssopweir/platform_client.py
+++ b/hyssopweir/platform_client.py
@@ -124,8 +124,8 @@
 
     It never exceeds ``MAX_EXCHANGE_MS`` after the start, but for the time for which
     this process stood still: a reply that arrived meanwhile is still to be read. At
-    most once more ``timeout_ms`` is added for it. With ``late_ms``, ``on_late`` is
-    called at the end of the time, and the exchange may go on for that time.
+    most once more ``timeout_ms`` is added for it. With ``late_ms``, a request that was
+    sent may go on for that time, and ``on_late`` is called before.
     """
 
     def __init__(
@@ -133,12 +133,14 @@
         timeout_ms: Millis,
         idle_timeout_ms: Millis | None,
         late_ms: Millis,
+        progress: ExchangeProgress,
         on_late: Callable[[], None],
     ) -> None:
         self._loop = asyncio.get_running_loop()
         self._timeout_ms = timeout_ms
         self._idle_timeout_ms = idle_timeout_ms
         self._late_ms = late_ms
+        self._progress = progress
         self._on_late = on_late
         self._spare_ms = timeout_ms
         self._started_s = self._loop.time()
@@ -175,7 +177,7 @@
         left_ms = extension_ms(int((now_s - self._due_s) * 1_000), self._spare_ms)
         if left_ms:
             self._spare_ms -= left_ms
-        elif self._late_ms:
+        elif self._late_ms and self._progress.sent_s is not None:
             self._on_late()
             left_ms, self._late_ms = self._late_ms, 0
         if left_ms:
@@ -255,6 +257,7 @@
         timeout_ms,
         idle_timeout_ms,
         late_ms,
+        progress,
         lambda: _record_timeout(session, address, progress),
     )
     try:
