Give the loop a turn before a renewal counts as unanswered

Cause, by the review: an owner that stood still while it processed an older reply took the newest renewal for unanswered, without reading what had come.

Change: the wait for a reply is at least 50 ms.

--- a/hyssopweir/renewal_calls.py
+++ b/hyssopweir/renewal_calls.py
@@ -9,6 +9,8 @@
 from hyssopweir.agents import CommandResult, LeaseReply
 from hyssopweir.clock import Clock, Millis
 
+MIN_WAIT_MS: Millis = 50
+
 RenewalResult = Result[LeaseReply, CommandResult]
 
 
@@ -62,7 +64,8 @@
         Return None if the newest call was cancelled.
         """
         while self._newest is not None:
-            left_ms = self._due_ms - self._clock.now_ms()
+            # What arrived while this process did something else is still to be read.
+            left_ms = max(self._due_ms - self._clock.now_ms(), MIN_WAIT_MS)
             await self._clock.wait_first(list(self._calls), left_ms)
             replied = self._take_reply()
             if replied is not None:
