--- a/tests/test_silent_connections.py
+++ b/tests/test_silent_connections.py
@@ -1,6 +1,7 @@
 """Open connections that go silent for good while new ones work, on loopback."""
 
 import asyncio
+import time
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
 from typing import Any
@@ -106,6 +107,24 @@
     asyncio.run(main())
 
 
+@pytest.mark.parametrize("stand_s", [0.35, 0.6, 1.0])
+@pytest.mark.parametrize("client", CLIENTS)
+def test_calls_after_a_silence_outlast_a_process_that_stands(
+    client: Any, stand_s: float
+) -> None:
+    """Guards against calls on new connections that fail as their process stands."""
+
+    async def main() -> None:
+        async with running_proxy() as proxy, client(proxy.port) as call:
+            assert await call_at_once(call) == CONNECTIONS
+            proxy.silence()
+            await call_at_once(call)
+            asyncio.get_running_loop().call_later(0.02, time.sleep, stand_s)
+            assert await call_at_once(call) == CONNECTIONS
+
+    asyncio.run(main())
+
+
 def test_timeout_of_one_call_keeps_connections_that_replied_since() -> None:
     """Guards against new connections after each single reply that is lost."""
 
@@ -155,6 +174,28 @@
     asyncio.run(main())
 
 
+@pytest.mark.parametrize("stand_s", [0.35, 1.0])
+def test_process_that_stands_in_a_burst_keeps_its_connections(stand_s: float) -> None:
+    """Guards against new connections as a process that stood gave its calls up."""
+
+    async def main() -> None:
+        async with running_proxy() as proxy:
+            client = JsonHttpClient()
+            address = (HOST, proxy.port)
+            for stand in (stand_s, 0.0):
+                asyncio.get_running_loop().call_later(0.02, time.sleep, stand)
+                await asyncio.gather(
+                    *(
+                        client.request("GET", address, "/rows-get", TIMEOUT_MS)
+                        for _ in range(CONNECTIONS)
+                    )
+                )
+            assert proxy.accepted == CONNECTIONS
+            await client.close()
+
+    asyncio.run(main())
+
+
 def test_silence_of_one_address_keeps_the_connections_to_others() -> None:
     """Guards against new connections to all workers after one falls silent."""
 
