--- a/hyssopweir/agent_link.py
+++ b/hyssopweir/agent_link.py
@@ -12,7 +12,6 @@
     CommandResult,
     LeaseReply,
     StartCommand,
-    StartReply,
     WorkerEntry,
 )
 from hyssopweir.clock import Clock, Millis
@@ -24,6 +23,7 @@
 from hyssopweir.process_delays import ProcessDelays
 from hyssopweir.renewal_calls import Renewal, RenewalCalls
 from hyssopweir.reply_delays import MIN_TIMEOUT_MS, ReplyDelays
+from hyssopweir.start_calls import StartCalls
 from hyssopweir.task_state import Run, RunRef
 from hyssopweir.worker_clock import MIN_CLOCK_RATE, ClockReading, WorkerClock
 from hyssopweir.worker_load import REPORT_TIMEOUT_MS, WorkerLoad
@@ -58,8 +58,6 @@
 # Another process or none answers at the worker's address. A crash causes them, but so
 # do a proxy, a firewall and a full backlog: they stop new work, and end no run.
 ABSENCE_RESULTS = frozenset({CommandResult.NO_LISTENER, CommandResult.OTHER_LIFE})
-# Within this time after its timeout, a start that wasn't sent tells so.
-RESULT_GRACE_MS: Millis = 100
 # Timeout of a renewal shortly before the lease expires.
 LAST_TIMEOUT_MS: Millis = 100
 
@@ -145,10 +143,8 @@
         self._may_be_extended = may_be_extended
         self._worker_clock = WorkerClock()
         self._renewal_delays = ReplyDelays()
-        self._command_delays = ReplyDelays()
+        self._starts = StartCalls(agent, clock)
         self._calls = RenewalCalls(clock)
-        # Starts that have exceeded their timeout and may still be answered.
-        self._late_starts: set[asyncio.Task[StartReply]] = set()
         # Bound of the leases that this owner granted to the process that it last heard,
         # on the clock of that process.
         self._lease_until_ms: Millis = 0
@@ -243,8 +239,7 @@
             await self._renew_leases()
         finally:
             self._calls.cancel()
-            for call in self._late_starts:
-                call.cancel()
+            self._starts.cancel()
 
     async def _renew_leases(self) -> None:
         wait_ms, pause_ms = 0, RETRY_MS
@@ -466,41 +461,17 @@
         run.record_start_sent(self._clock.now_ms())
         token = self._token
         command = StartCommand(run.ref, payload, lease_until_ms, token, saved)
-        reply = await self._send_start(command)
+        timeout_ms = self._command_timeout_ms()
+        reply = await self._starts.send(self.entry, command, timeout_ms)
         run.settled_ms = self._clock.now_ms()
         # Another worker at the address has a clock of its own.
         if reply.clock_ms is not None and reply.result is not CommandResult.OTHER_LIFE:
             self._check_clock(reply.clock_ms, run.since_ms)
         return self._check_fenced(reply.result, token)
 
-    async def _send_start(self, command: StartCommand) -> StartReply:
-        """Send a start; a late reply only tells how long the next one may take."""
-        sent_ms, timeout_ms = self._clock.now_ms(), self._command_timeout_ms()
-        call = asyncio.get_running_loop().create_task(
-            self._agent.start(self.entry, command, timeout_ms)
-        )
-
-        def record_delay(call: asyncio.Task[StartReply]) -> None:
-            self._late_starts.discard(call)
-            is_answered = not call.cancelled() and call.exception() is None
-            if is_answered and call.result().result is not CommandResult.UNKNOWN:
-                self._command_delays.record(self._clock.now_ms() - sent_ms)
-
-        call.add_done_callback(record_delay)
-        try:
-            is_answered = await self._clock.wait_first(
-                [call], timeout_ms + RESULT_GRACE_MS
-            )
-        except asyncio.CancelledError:
-            call.cancel()
-            raise
-        if is_answered:
-            return call.result()
-        self._late_starts.add(call)
-        return StartReply(CommandResult.UNKNOWN)
-
     def _command_timeout_ms(self) -> Millis:
-        return max(self._command_delays.timeout_ms(), self._renewal_delays.timeout_ms())
+        delays = (self._starts.delays, self._renewal_delays)
+        return max(delay.timeout_ms() for delay in delays)
 
     def _check_clock(self, clock_ms: Millis, sent_ms: Millis) -> None:
         """Notice a restart by the clock in the reply to a start of that time.
