--- a/hyssopweir/renewal_calls.py
+++ b/hyssopweir/renewal_calls.py
@@ -9,6 +9,7 @@
 from hyssopweir.agents import CommandResult, LeaseReply
 from hyssopweir.clock import Clock, Millis
 
+# Enough turns of the event loop to read a reply that has arrived.
 MIN_WAIT_MS: Millis = 50
 
 RenewalResult = Result[LeaseReply, CommandResult]
@@ -64,7 +65,6 @@
         Return None if the newest call was cancelled.
         """
         while self._newest is not None:
-            # What arrived while this process did something else is still to be read.
             left_ms = max(self._due_ms - self._clock.now_ms(), MIN_WAIT_MS)
             await self._clock.wait_first(list(self._calls), left_ms)
             replied = self._take_reply()
